--- /dev/null
+++ b/packages/beam/src/index.ts
@@ -0,0 +1,117 @@
+// beam: news goes down a tree of relays that the nodes form among themselves (§3.5).
+// Every node computes the same tree from the roster. A digest exchanged with a random sibling
+// makes up for a dead relay; an older mark never replaces a newer one.
+import { invariant, time, us, type Lens, type Place, type Us } from '@thornsail/lens';
+import { ring } from '@thornsail/lookout';
+import type { Pipe } from '@thornsail/pipe';
+
+export type News = { name: string; mark: number; value: unknown };
+export type Item = { mark: number; value: unknown; at: Us };
+type Digest = Record<string, number>;
+export type Relay = { id: string; place: Place };
+export type Beam = {
+  put: (name: string, mark: number, value: unknown) => void;
+  get: (name: string) => Item | undefined;
+  all: (prefix: string) => { name: string; item: Item }[];
+  drop: (keep: (name: string) => boolean) => void;
+  on: (fn: (n: News) => void) => void;
+  /** When a sibling last exchanged news with this node. */
+  heardAt: () => Us;
+  /** Exchanges digests at once with a given sibling; true if it did. */
+  refresh: (with_: Place, timeLeft?: Us) => Promise<boolean>;
+  counts: () => { pushed: number; pulled: number; relayed: number };
+  close: () => void;
+};
+export type BeamTimes = { arity: number; digest: Us; attach: Us; exchange: Us };
+const times: BeamTimes = { arity: 3, digest: us.ms(400), attach: us.ms(300), exchange: us.ms(250) };
+
+export const tree = {
+  near: (relays: Relay[], id: string, arity: number): Relay[] => {
+    const r = ring.sorted(relays);
+    const i = r.findIndex((x) => x.id === id);
+    if (i < 0) return [];
+    const out: Relay[] = [];
+    if (i > 0) out.push(r[Math.floor((i - 1) / arity)]!);
+    for (let k = 1; k <= arity; k++) if (r[arity * i + k]) out.push(r[arity * i + k]!);
+    return out;
+  },
+};
+
+export const beam = {
+  open: (o: {
+    lens: Lens; pipe: Pipe; self: string; leaf: boolean;
+    relays: () => Relay[];
+    /** For a leaf: the relay it hangs on. */
+    attachTo: () => Place | undefined;
+    /** Further places to try when the relays do not answer. */
+    others: () => Place[];
+    times?: Partial<BeamTimes>;
+  }): Beam => {
+    const { lens, pipe } = o;
+    const { clock, rand } = lens;
+    const T = { ...times, ...o.times };
+    const items = new Map<string, Item>();
+    const leaves = new Map<Place, Us>();
+    const watchers: ((n: News) => void)[] = [];
+    const c = { pushed: 0, pulled: 0, relayed: 0 };
+    let heard = clock.now();
+    const digest = (): Digest => Object.fromEntries([...items].map(([k, v]) => [k, v.mark]));
+    const near = (): Place[] => {
+      const now = clock.now();
+      for (const [p, at] of leaves) if (now - at > T.attach * 4) leaves.delete(p);
+      const up = o.leaf ? [o.attachTo()].filter((p): p is Place => p !== undefined) : tree.near(o.relays(), o.self, T.arity).map((r) => r.place);
+      return [...new Set([...up, ...leaves.keys()])];
+    };
+    const take = (list: News[], from: Place | undefined, relay: boolean): void => {
+      const fresh = list.filter((n) => {
+        const cur = items.get(n.name);
+        if (cur && cur.mark >= n.mark) return false;
+        items.set(n.name, { mark: n.mark, value: n.value, at: clock.now() });
+        invariant.hold(!cur || cur.mark < n.mark, `news ${n.name} slipped back`);
+        return true;
+      });
+      if (fresh.length === 0) return;
+      if (relay) for (const p of near()) if (p !== from) { c.relayed += 1; pipe.tell(p, 'beam.news', fresh); }
+      for (const n of fresh) for (const w of watchers) w(n);
+    };
+    const newerThan = (d: Digest): News[] => [...items].filter(([k, v]) => (d[k] ?? -1) < v.mark).map(([name, v]) => ({ name, mark: v.mark, value: v.value }));
+    pipe.on<News[]>('beam.news', (list, from) => { heard = clock.now(); c.pushed += list.length; take(list, from, true); });
+    pipe.on<{ digest: Digest; leaf: boolean }>('beam.digest', ({ digest: d, leaf }, from) => {
+      if (leaf) leaves.set(from, clock.now());
+      heard = clock.now();
+      return { news: newerThan(d), digest: digest() };
+    });
+    const refresh = async (to: Place, left: Us = T.exchange): Promise<boolean> => {
+      try {
+        const r = await pipe.ask<{ news: News[]; digest: Digest }>(to, 'beam.digest', { digest: digest(), leaf: o.leaf }, left);
+        heard = clock.now();
+        c.pulled += r.news.length;
+        take(r.news, to, true);
+        const lacks = newerThan(r.digest);
+        if (lacks.length) pipe.tell(to, 'beam.news', lacks);
+        return true;
+      } catch { return false; }
+    };
+    const pick = (): Place | undefined => {
+      const all = o.relays().filter((r) => r.id !== o.self).map((r) => r.place);
+      // Now and then, or with no relay known, ask a place outside the roster: it may be stale.
+      const use = all.length === 0 || rand.int(8) === 0 ? [...all, ...o.others()] : all;
+      return use.length ? use[rand.int(use.length)] : undefined;
+    };
+    const stop = time.every(clock, o.leaf ? T.attach : T.digest, async () => {
+      const up = o.leaf ? o.attachTo() : undefined;
+      if (up && await refresh(up)) return;
+      const p = pick();
+      if (p && p !== pipe.at) await refresh(p);
+    });
+    return {
+      put: (name, mark, value) => take([{ name, mark, value }], undefined, true),
+      get: (name) => items.get(name),
+      all: (prefix) => [...items].filter(([k]) => k.startsWith(prefix)).map(([name, item]) => ({ name, item })),
+      drop: (keep) => { for (const k of items.keys()) if (!keep(k)) items.delete(k); },
+      on: (fn) => void watchers.push(fn),
+      heardAt: () => heard,
+      refresh, counts: () => ({ ...c }), close: stop,
+    };
+  },
+};
--- /dev/null
+++ b/packages/berth/src/index.ts
@@ -0,0 +1,117 @@
+// berth: the workers (§5.2). Which of them may take a turn of a class now, and which one does.
+import type { Config } from '@thornsail/chart';
+import { invariant, type Place, type Us } from '@thornsail/lens';
+
+export type Kind = 'model' | 'app';
+export type WorkerEntry = { id: string; at: Place; kind: Kind; leaving: boolean };
+/** Running turns by worker and class, waiting turns by class. */
+export type Load = { running: Record<string, Record<string, number>>; waiting: Record<string, number> };
+export const load = { empty: (): Load => ({ running: {}, waiting: {} }) };
+
+type Sums = { slots: number; running: number; byClass: Map<string, number> };
+export type Berths = {
+  workers: (list: WorkerEntry[]) => void;
+  config: (c: Config) => void;
+  siblings: (l: Load[]) => void;
+  /** Picks a worker for a turn of a class, or null if none may take it now. `force` goes through in spite of shares. */
+  pick: (cls: string, o: { hint?: string | null; not?: ReadonlySet<string>; force?: boolean }) => WorkerEntry | null;
+  take: (worker: string, cls: string) => void;
+  leave: (worker: string, cls: string) => void;
+  wait: (cls: string, by: 1 | -1) => void;
+  load: () => Load;
+  get: (id: string) => WorkerEntry | undefined;
+  list: () => WorkerEntry[];
+  /** Slots that a class may use at most while every other class wants its own. */
+  entitled: (cls: string) => number;
+  bad: (worker: string, until: Us) => void;
+};
+
+export const berth = {
+  open: (now: () => Us): Berths => {
+    let config: Config | undefined;
+    const all = new Map<string, WorkerEntry>();
+    const bad = new Map<string, Us>();
+    const mine = load.empty();
+    let theirs: Load[] = [];
+    const kindOf = (cls: string): Kind | undefined => config?.classes[cls]?.kind;
+    const classes = (kind: Kind): [string, Config['classes'][string]][] => Object.entries(config?.classes ?? {}).filter(([, c]) => c.kind === kind);
+    const runningAt = (worker: string): Sums => {
+      const kind = all.get(worker)?.kind ?? 'model';
+      const byClass = new Map<string, number>();
+      let running = 0;
+      for (const l of [mine, ...theirs]) for (const [cls, n] of Object.entries(l.running[worker] ?? {})) {
+        byClass.set(cls, (byClass.get(cls) ?? 0) + n);
+        running += n;
+      }
+      return { slots: config?.slots[kind] ?? 1, running, byClass };
+    };
+    const usable = (w: WorkerEntry, not?: ReadonlySet<string>): boolean => !w.leaving && !(not?.has(w.id)) && (bad.get(w.id) ?? 0) <= now();
+    const weights = (kind: Kind): number => classes(kind).reduce((a, [, c]) => a + c.weight, 0) || 1;
+    const total = (kind: Kind): number => [...all.values()].filter((w) => w.kind === kind && !w.leaving).length * (config?.slots[kind] ?? 1);
+    const entitled = (cls: string): number => {
+      const c = config?.classes[cls];
+      return c ? Math.max(1, (total(c.kind) * c.weight) / weights(c.kind)) : 0;
+    };
+    const runs = (cls: string): number => [mine, ...theirs].reduce((a, l) => a + Object.values(l.running).reduce((b, r) => b + (r[cls] ?? 0), 0), 0);
+    const waits = (cls: string): number => [mine, ...theirs].reduce((a, l) => a + (l.waiting[cls] ?? 0), 0);
+    /** A class above its share gives way while another below its own is waiting: borrowed shares go back first. */
+    const mustGiveWay = (cls: string, kind: Kind): boolean => {
+      if (runs(cls) < entitled(cls)) return false;
+      return classes(kind).some(([d]) => d !== cls && waits(d) > 0 && runs(d) < entitled(d));
+    };
+    const room = (s: Sums, cls: string, kind: Kind): number => {
+      let free = s.slots - s.running;
+      const own = config?.classes[cls]?.reserve ?? 0;
+      // Its own reserve is there for it even when forced turns have overfilled the worker.
+      if (own > 0) free = Math.max(free, Math.ceil(own * s.slots) - (s.byClass.get(cls) ?? 0));
+      // What urgent classes keep un-lent: a running turn is never cut, so they must not wait for one to end.
+      for (const [d, c] of classes(kind)) if (d !== cls && c.reserve > 0) free -= Math.max(0, Math.ceil(c.reserve * s.slots) - (s.byClass.get(d) ?? 0));
+      return free;
+    };
+    return {
+      workers: (list) => {
+        all.clear();
+        for (const w of list) all.set(w.id, w);
+      },
+      config: (c) => { config = c; },
+      siblings: (l) => { theirs = l; },
+      pick: (cls, o) => {
+        const kind = kindOf(cls);
+        if (!kind) return null;
+        if (!o.force && mustGiveWay(cls, kind)) return null;
+        let best: WorkerEntry | null = null;
+        let least = Infinity;
+        for (const w of all.values()) {
+          if (w.kind !== kind || !usable(w, o.not)) continue;
+          const s = runningAt(w.id);
+          if (!o.force && room(s, cls, kind) < 1) continue;
+          if (w.id === o.hint) return w;
+          const l = s.running / s.slots;
+          if (l < least) { best = w; least = l; }
+        }
+        return best;
+      },
+      take: (worker, cls) => {
+        const r = (mine.running[worker] ??= {});
+        r[cls] = (r[cls] ?? 0) + 1;
+      },
+      leave: (worker, cls) => {
+        const r = mine.running[worker];
+        const n = (r?.[cls] ?? 0) - 1;
+        invariant.hold(n >= 0, `more turns left ${worker} than it took`);
+        if (r) { if (n === 0) delete r[cls]; else r[cls] = n; if (Object.keys(r).length === 0) delete mine.running[worker]; }
+      },
+      wait: (cls, by) => {
+        const n = (mine.waiting[cls] ?? 0) + by;
+        invariant.hold(n >= 0, `more turns of ${cls} left the buffer than entered it`);
+        if (n === 0) delete mine.waiting[cls]; else mine.waiting[cls] = n;
+      },
+      load: () => structuredClone(mine),
+      get: (id) => all.get(id),
+      list: () => [...all.values()].sort((a, b) => (a.id < b.id ? -1 : 1)),
+      entitled,
+      bad: (worker, until) => void bad.set(worker, until),
+    };
+  },
+};
+export { formats, type ChatTurn, type Piece } from './formats.js';
--- /dev/null
+++ b/packages/chart/src/index.ts
@@ -0,0 +1,101 @@
+// chart: what operators configure and what a process is told at its start; both checked, with defaults (§7).
+import * as t from 'io-ts';
+import { apply as mergePatch } from 'json-merge-patch';
+import { place, us, type Us } from '@thornsail/lens';
+import { check, match, oneOf, range, sealed, whole, type Problem } from './codec.js';
+
+export type { Problem } from './codec.js';
+
+const name = match(/^[a-z][a-z0-9-]{0,39}$/, 'a name of small letters, digits and dashes');
+const at = new t.Type<string>('an address "ip:port"', (u): u is string => place.ok(u), (u, c) => (place.ok(u) ? t.success(u) : t.failure(u, c)), t.identity);
+
+/** §4: the ThunderAgent values. The paper's defaults, and those marked ours in docs/CONFIG.md. */
+const scheduler = {
+  pauseThreshold: 0.95, pauseTarget: 0.8, resumeHysteresis: 0.1, resumeTimeoutSeconds: 1800, retentionSeconds: 1800,
+  intervalSeconds: 5, actingTokenWeight: 1, actingDecaySeconds: 1, headroomTokens: 100, maxTurns: 10_000, maxPrograms: 10_000,
+  holdLimitMs: 1500, resumeOnRoom: true,
+};
+const schedulerCodec = sealed('scheduler', {
+  pauseThreshold: range(0.05, 1), pauseTarget: range(0.01, 1), resumeHysteresis: range(0, 1),
+  resumeTimeoutSeconds: range(0.1, 86_400), retentionSeconds: range(1, 86_400), intervalSeconds: range(0.05, 600),
+  actingTokenWeight: range(0, 10), actingDecaySeconds: range(0.001, 3600), headroomTokens: whole(0, 1_000_000),
+  maxTurns: whole(1, 1_000_000), maxPrograms: whole(1, 1_000_000), holdLimitMs: whole(10, 1900), resumeOnRoom: t.boolean,
+}, scheduler);
+
+const classCodec = sealed('class', {
+  kind: oneOf('model', 'app'), weight: range(0.01, 1000), urgent: t.boolean, reserve: range(0, 0.5),
+  budgetTokens: whole(1, 1_000_000_000), maxTokens: whole(1, 1_000_000), keepSeconds: whole(0, 31_536_000),
+  timeLeftMs: whole(100, 600_000), expectedMs: whole(1, 600_000), buffer: whole(0, 100_000),
+}, { urgent: false, reserve: 0, budgetTokens: 1_000_000, maxTokens: 512, keepSeconds: 86_400, timeLeftMs: 3000, expectedMs: 300, buffer: 256 });
+
+const slotsCodec = sealed('slots', { model: whole(1, 10_000), app: whole(1, 10_000) }, { model: 16, app: 16 });
+const limitsCodec = sealed('limits', { maxBodyBytes: whole(1024, 8 << 20), promptBytesPerToken: range(0.25, 16), onceKeepSeconds: whole(10, 2_592_000), programKeepSeconds: whole(60, 31_536_000) },
+  { maxBodyBytes: 1 << 20, promptBytesPerToken: 1, onceKeepSeconds: 3600, programKeepSeconds: 86_400 });
+
+const configCodec = sealed('configuration', {
+  classes: t.record(name, classCodec), slots: slotsCodec, scheduler: schedulerCodec, limits: limitsCodec,
+}, { slots: { model: 16, app: 16 }, scheduler, limits: { maxBodyBytes: 1 << 20, promptBytesPerToken: 1, onceKeepSeconds: 3600, programKeepSeconds: 86_400 } });
+
+export type Config = t.TypeOf<typeof configCodec>;
+export type ClassOf = t.TypeOf<typeof classCodec>;
+export type SchedulerOptions = t.TypeOf<typeof schedulerCodec>;
+export type Checked<T> = { ok: true; value: T } | { ok: false; problems: Problem[] };
+
+const rules = (c: Config): Problem[] => {
+  const out: Problem[] = [];
+  const bad = (path: string, text: string): void => void out.push({ path, text });
+  const s = c.scheduler;
+  if (s.pauseTarget > s.pauseThreshold) bad('scheduler.pauseTarget', 'must not be above scheduler.pauseThreshold');
+  if (s.resumeHysteresis > s.pauseThreshold) bad('scheduler.resumeHysteresis', 'must not be above scheduler.pauseThreshold');
+  if (Object.keys(c.classes).length === 0) bad('classes', 'at least one class is needed');
+  for (const kind of ['model', 'app'] as const) {
+    const sum = Object.values(c.classes).filter((k) => k.kind === kind).reduce((a, k) => a + k.reserve, 0);
+    if (sum > 0.8) bad('classes', `reserves of ${kind} classes add up to ${sum.toFixed(2)}, at most 0.8`);
+  }
+  return out;
+};
+
+const process_ = {
+  place: at, http: at, zone: name, seeds: t.array(at), name, data: t.string,
+};
+const common = { zone: 'z1', seeds: [] as string[] };
+const optionCodecs = {
+  tower: sealed('tower options', { ...process_, founders: t.array(at) }, { ...common, founders: [] }),
+  keeper: sealed('keeper options', { ...process_, keepers: whole(3, 9) }, { ...common, keepers: 3 }),
+  pilot: sealed('pilot options', { place: at, http: at, zone: name, seeds: t.array(at), name, platform: at }, common),
+  front: sealed('front options', { place: at, http: at, zone: name, seeds: t.array(at), name, pilot: at }, common),
+};
+export type Role = keyof typeof optionCodecs;
+export type TowerOptions = t.TypeOf<typeof optionCodecs.tower>;
+export type KeeperOptions = t.TypeOf<typeof optionCodecs.keeper>;
+export type PilotOptions = t.TypeOf<typeof optionCodecs.pilot>;
+export type FrontOptions = t.TypeOf<typeof optionCodecs.front>;
+export type OptionsOf = { tower: TowerOptions; keeper: KeeperOptions; pilot: PilotOptions; front: FrontOptions };
+
+export const chart = {
+  check: (u: unknown): Checked<Config> => {
+    const r = check(configCodec, u);
+    if (!r.ok) return r;
+    const problems = rules(r.value);
+    return problems.length ? { ok: false, problems } : r;
+  },
+  /** JSON Merge Patch (RFC 7396). Neither argument is changed. */
+  merge: (base: unknown, patch: unknown): unknown => mergePatch(structuredClone(base), structuredClone(patch)),
+  options: <R extends Role>(role: R, u: unknown): Checked<OptionsOf[R]> => {
+    const r = check(optionCodecs[role] as unknown as t.Type<OptionsOf[R]>, u);
+    if (!r.ok) return r;
+    const o = r.value as { seeds: string[]; founders?: string[]; place: string };
+    const problems: Problem[] = [];
+    if (o.seeds.length > 3) problems.push({ path: 'seeds', text: 'three at most' });
+    if (o.founders && o.founders.length !== 0 && (o.founders.length !== 3 || !o.founders.includes(o.place))) problems.push({ path: 'founders', text: 'three addresses, this one among them, or none' });
+    return problems.length ? { ok: false, problems } : r;
+  },
+  keys: (role: Role): string[] => ({
+    tower: ['place', 'http', 'zone', 'seeds', 'name', 'data', 'founders'],
+    keeper: ['place', 'http', 'zone', 'seeds', 'name', 'data', 'keepers'],
+    pilot: ['place', 'http', 'zone', 'seeds', 'name', 'platform'],
+    front: ['place', 'http', 'zone', 'seeds', 'name', 'pilot'],
+  })[role],
+  defaults: { scheduler: (): SchedulerOptions => ({ ...scheduler }) },
+  secs: (n: number): Us => us.s(n),
+};
--- /dev/null
+++ b/packages/fairway/src/admission.ts
@@ -0,0 +1,218 @@
+// Admission of this edge: pilotage decides for programs, berth for slots; this part carries out what they say (§4.4, §5.2).
+import { berth, formats, load as loads, type Berths, type Load, type WorkerEntry } from '@thornsail/berth';
+import type { Config } from '@thornsail/chart';
+import { time, us, type Lens, type Stop, type Us } from '@thornsail/lens';
+import { pilotage, type Effect, type Event, type Options, type State, type Why } from '@thornsail/pilotage';
+
+export type EdgeLoad = { load: Load; tokens: Record<string, number>; paused: number };
+export type Released = { ok: true; worker: string | null; why: Why; waited: Us } | { ok: false; why: 'turns' | 'programs' | 'busy' | 'gone' };
+export type Slot = { ok: true; worker: WorkerEntry } | { ok: false; why: 'full' | 'late' | 'gone' | 'none' };
+type Wait = { hint: string | null; not: ReadonlySet<string>; done: (s: Slot) => void; until: Us };
+
+export type Admission = {
+  turn: (e: Event & { kind: 'arrive' }, onHold: () => void) => { released: Promise<Released>; gone: () => void };
+  knows: (program: string) => boolean;
+  grow: (program: string, tokens: number) => void;
+  end: (turn: string, e: { tokens: number | null; final: boolean; worker: string | null }) => void;
+  slot: (cls: string, o: { hint: string | null; not: ReadonlySet<string>; force: boolean; limit: Us }) => { got: Promise<Slot>; gone: () => void };
+  leave: (worker: string, cls: string, took: Us | null) => void;
+  expected: (cls: string) => Us;
+  bad: (worker: string) => void;
+  worker: (id: string) => WorkerEntry | undefined;
+  workers: (list: WorkerEntry[]) => void;
+  siblings: (l: EdgeLoad[]) => void;
+  config: (c: Config) => void;
+  load: () => EdgeLoad;
+  held: () => number;
+  counts: () => State['counts'] & { slotWaits: number; slotRejects: number };
+  state: () => State;
+  close: () => void;
+};
+
+export const optionsOf = (c: Config): Options => {
+  const s = c.scheduler;
+  return {
+    pauseThreshold: s.pauseThreshold, pauseTarget: s.pauseTarget, resumeHysteresis: s.resumeHysteresis,
+    resumeTimeout: us.s(s.resumeTimeoutSeconds), retention: us.s(s.retentionSeconds), interval: us.s(s.intervalSeconds),
+    actingTokenWeight: s.actingTokenWeight, actingHalfLife: us.s(s.actingDecaySeconds), headroom: s.headroomTokens,
+    maxTurns: s.maxTurns, maxPrograms: s.maxPrograms, holdLimit: us.ms(s.holdLimitMs), resumeOnRoom: s.resumeOnRoom,
+  };
+};
+const textOf = async (b: AsyncIterable<string>): Promise<string> => { let s = ''; for await (const p of b) s += p; return s; };
+
+export const admission = {
+  open: (lens: Lens): Admission => {
+    const { clock } = lens;
+    const log = lens.log('pilotage');
+    const st = pilotage.open(pilotage.defaults(), clock.now());
+    const berths: Berths = berth.open(clock.now);
+    const waiting = new Map<string, (r: Released) => void>();
+    const capacity = new Map<string, number>();
+    let config: Config | undefined;
+    let list: WorkerEntry[] = [];
+    let closed = false;
+    const c = { slotWaits: 0, slotRejects: 0 };
+
+    const apply = (effects: Effect[]): void => {
+      for (const e of effects) {
+        if (e.kind === 'release') {
+          if (e.why !== 'ordinary') log(`${e.why} ${e.program} after ${us.toMs(e.waited)} ms.`);
+          waiting.get(e.turn)?.({ ok: true, worker: e.worker, why: e.why, waited: e.waited });
+          waiting.delete(e.turn);
+        } else if (e.kind === 'reject') {
+          waiting.get(e.turn)?.({ ok: false, why: e.why });
+          waiting.delete(e.turn);
+        } else if (e.kind === 'paused' || e.kind === 'marked') log(`${e.kind} ${e.program} at ${e.worker}.`);
+      }
+      arm();
+    };
+    const step = (e: Event): void => apply(pilotage.step(st, e, clock.now()).effects);
+    let armedAt = Infinity;
+    let disarm: Stop = () => undefined;
+    const arm = (): void => {
+      const at = pilotage.dueAt(st);
+      if (at === undefined || closed || at >= armedAt) return;
+      disarm();
+      armedAt = at;
+      disarm = clock.tick(Math.max(0, at - clock.now()), () => { armedAt = Infinity; step({ kind: 'due' }); });
+    };
+
+    const giveWorkers = (): void => step({ kind: 'workers', list: list.filter((w) => w.kind === 'model').map((w) => ({ id: w.id, capacity: capacity.get(w.id) ?? 0, eligible: !w.leaving })) });
+    const measure = async (some: WorkerEntry[]): Promise<void> => {
+      await Promise.all(some.filter((w) => w.kind === 'model').map(async (w) => {
+        try {
+          const r = await lens.net.call({ at: w.at, method: 'GET', path: formats.report.path, timeLeft: us.ms(800), silence: us.ms(800) });
+          const n = formats.report.capacity(await textOf(r.body));
+          if (n !== undefined) capacity.set(w.id, n);
+        } catch { /* The last known capacity stands. */ }
+      }));
+    };
+    const tick = async (): Promise<void> => {
+      await measure(list);
+      if (closed) return;
+      giveWorkers();
+      step({ kind: 'tick' });
+    };
+    let stopTick: Stop = () => undefined;
+    let interval = 0;
+
+    const buffers = new Map<string, Wait[]>();
+    const service = new Map<string, Us>();
+    const expected = (cls: string): Us => service.get(cls) ?? us.ms(config?.classes[cls]?.expectedMs ?? 300);
+    const pump = (): void => {
+      const now = clock.now();
+      // Urgent classes first, then in the order of configuration.
+      const order = [...buffers.keys()].sort((a, b) => Number(config?.classes[b]?.urgent ?? false) - Number(config?.classes[a]?.urgent ?? false));
+      for (const cls of order) {
+        const q = buffers.get(cls)!;
+        while (q.length) {
+          const w = q[0]!;
+          const late = w.until <= now;
+          const got = late ? null : berths.pick(cls, { hint: w.hint, not: w.not });
+          if (!late && !got) break;
+          q.shift();
+          berths.wait(cls, -1);
+          if (got) { berths.take(got.id, cls); w.done({ ok: true, worker: got }); } else { c.slotRejects += 1; w.done({ ok: false, why: 'late' }); }
+        }
+        if (q.length === 0) buffers.delete(cls);
+      }
+    };
+    const stopPump = time.every(clock, us.ms(20), () => { if (buffers.size) pump(); });
+
+    return {
+      turn: (e, onHold) => {
+        let done: (r: Released) => void = () => undefined;
+        const released = new Promise<Released>((fin) => { done = fin; });
+        waiting.set(e.turn, done);
+        step(e);
+        if (waiting.has(e.turn)) onHold();
+        return {
+          released,
+          gone: () => {
+            if (!waiting.delete(e.turn)) return;
+            step({ kind: 'gone', turn: e.turn });
+            done({ ok: false, why: 'gone' });
+          },
+        };
+      },
+      knows: (program) => st.programs.has(program),
+      grow: (program, tokens) => step({ kind: 'grow', program, tokens }),
+      end: (turn, e) => step({ kind: 'end', turn, ...e }),
+      slot: (cls, o) => {
+        const got = berths.pick(cls, { hint: o.hint, not: o.not, force: o.force });
+        const none = { gone: () => undefined };
+        const q = buffers.get(cls) ?? [];
+        if (got && (o.force || q.length === 0)) {
+          berths.take(got.id, cls);
+          return { got: Promise.resolve<Slot>({ ok: true, worker: got }), ...none };
+        }
+        const kind = config?.classes[cls]?.kind;
+        if (!berths.list().some((w) => w.kind === kind && !w.leaving && !o.not.has(w.id))) return { got: Promise.resolve<Slot>({ ok: false, why: 'none' }), ...none };
+        // Early rejection: what cannot be had in time is said at once, not at the end of the wait (§4.3).
+        const ahead = (q.length + 1) / Math.max(1, berths.entitled(cls));
+        if (q.length >= (config?.classes[cls]?.buffer ?? 0) || o.limit <= 0 || ahead * expected(cls) > o.limit) {
+          c.slotRejects += 1;
+          return { got: Promise.resolve<Slot>({ ok: false, why: 'full' }), ...none };
+        }
+        c.slotWaits += 1;
+        let done: (s: Slot) => void = () => undefined;
+        const p = new Promise<Slot>((fin) => { done = fin; });
+        const w: Wait = { hint: o.hint, not: o.not, done, until: clock.now() + o.limit };
+        buffers.set(cls, [...q, w]);
+        berths.wait(cls, 1);
+        return {
+          got: p,
+          gone: () => {
+            const all = buffers.get(cls);
+            const i = all?.indexOf(w) ?? -1;
+            if (!all || i < 0) return;
+            all.splice(i, 1);
+            if (all.length === 0) buffers.delete(cls);
+            berths.wait(cls, -1);
+            done({ ok: false, why: 'gone' });
+          },
+        };
+      },
+      leave: (worker, cls, took) => {
+        berths.leave(worker, cls);
+        if (took !== null) service.set(cls, Math.round(expected(cls) * 0.8 + took * 0.2));
+        pump();
+      },
+      expected,
+      bad: (worker) => berths.bad(worker, clock.now() + us.s(1)),
+      worker: (id) => berths.get(id),
+      workers: (l) => {
+        const fresh = l.filter((w) => !capacity.has(w.id));
+        list = l;
+        berths.workers(l);
+        giveWorkers();
+        if (fresh.length) void measure(fresh).then(() => { if (!closed) giveWorkers(); });
+        pump();
+      },
+      siblings: (l) => {
+        const tokens = new Map<string, number>();
+        for (const e of l) for (const [w, n] of Object.entries(e.tokens)) tokens.set(w, (tokens.get(w) ?? 0) + n);
+        berths.siblings(l.map((e) => e.load ?? loads.empty()));
+        step({ kind: 'siblings', siblings: { tokens, sharers: l.filter((e) => e.paused > 0).length } });
+        pump();
+      },
+      config: (cfg) => {
+        config = cfg;
+        berths.config(cfg);
+        const options = optionsOf(cfg);
+        step({ kind: 'options', options });
+        if (options.interval !== interval) {
+          interval = options.interval;
+          stopTick();
+          stopTick = time.every(clock, interval, tick);
+        }
+        pump();
+      },
+      load: () => ({ load: berths.load(), ...pilotage.totals(st) }),
+      held: () => st.held.size,
+      counts: () => ({ ...st.counts, ...c }),
+      state: () => st,
+      close: () => { closed = true; disarm(); stopTick(); stopPump(); },
+    };
+  },
+};
--- /dev/null
+++ b/packages/harbour/src/index.ts
@@ -0,0 +1,42 @@
+// harbour: the platform that lists the workers and marks those that are leaving (§3.8).
+import { fault, time, us, type Lens, type Place, type Us } from '@thornsail/lens';
+
+export type PlatformWorker = { id: string; at: Place; kind: 'model' | 'app'; leaving: boolean };
+const text = async (body: AsyncIterable<string>): Promise<string> => { let s = ''; for await (const p of body) s += p; return s; };
+
+/** Application workers may go by a deployment's own name for them (table, intake). */
+const parse = (raw: string): PlatformWorker[] => {
+  const j = JSON.parse(raw) as { workers?: unknown };
+  const list = Array.isArray(j) ? j : j.workers;
+  if (!Array.isArray(list)) throw new Error('no list of workers');
+  return list.flatMap((u: unknown) => {
+    const w = u as Record<string, unknown>;
+    const at = typeof w['address'] === 'string' ? w['address'].replace(/^http:\/\//, '').replace(/\/$/, '') : '';
+    if (typeof w['id'] !== 'string' || !at) return [];
+    return [{ id: w['id'], at, kind: w['kind'] === 'model' ? 'model' as const : 'app' as const, leaving: w['leaving'] === true }];
+  });
+};
+
+export const harbour = {
+  open: (o: { lens: Lens; platform: Place; every?: Us; onList: (list: PlatformWorker[]) => void }): { okAt: () => Us | undefined; close: () => void } => {
+    const log = o.lens.log('harbour');
+    let okAt: Us | undefined;
+    let failed = false;
+    const poll = async (): Promise<void> => {
+      try {
+        const r = await o.lens.net.call({ at: o.platform, method: 'GET', path: '/workers', timeLeft: us.ms(700), silence: us.ms(700) });
+        const list = parse(await text(r.body));
+        if (r.status !== 200) throw new Error(`status ${r.status}`);
+        okAt = o.lens.clock.now();
+        if (failed) log('the platform is back.');
+        failed = false;
+        o.onList(list);
+      } catch (e) {
+        if (!failed) log(`no list of workers: ${fault.text(e)}.`);
+        failed = true;
+      }
+    };
+    void poll();
+    return { okAt: () => okAt, close: time.every(o.lens.clock, o.every ?? us.ms(500), poll) };
+  },
+};
--- /dev/null
+++ b/packages/keeper/src/sweep.ts
@@ -0,0 +1,48 @@
+// The sweep (§6.5): finds the copies that no read has mended, drops what has expired everywhere,
+// and after a change of group brings every record onto a majority of the new one.
+import { time, us, type Clock, type Us } from '@thornsail/lens';
+import type { Pipe } from '@thornsail/pipe';
+import type { Registers } from './registers.js';
+import { ballot, grace, type Group, type ListResult } from './store.js';
+
+export type SweepResult = { complete: boolean; mark: number; seen: number; mended: number; purged: number };
+const majority = (n: number): number => Math.floor(n / 2) + 1;
+
+export const sweep = {
+  /** One pass over all keys. `all` settles every key (after a group change); otherwise only those whose copies differ. */
+  pass: async (o: { clock: Clock; pipe: Pipe; registers: Registers; group: Group; all: boolean; pause: Us; still: () => boolean; progress?: (seen: number) => void }): Promise<SweepResult> => {
+    const { clock, pipe, registers, group } = o;
+    const r: SweepResult = { complete: false, mark: group.mark, seen: 0, mended: 0, purged: 0 };
+    let after = '';
+    const limit = 128;
+    while (o.still()) {
+      const pages = await Promise.all(group.members.map((k) => pipe.ask<ListResult>(k.at, 'reg.list', { to: k.id, group, after, limit }, us.ms(800)).then((l) => ({ k, l }), () => undefined)));
+      const good = pages.flatMap((p) => (p?.l.ok ? [{ k: p.k, l: p.l }] : []));
+      if (good.length < majority(group.members.length)) return r;
+      // Keys beyond the shortest full page are left for the next one.
+      const ends = good.map((g) => g.l.next).filter((n): n is string => n !== null);
+      const end = ends.length ? ends.reduce((a, b) => (a < b ? a : b)) : null;
+      const byKey = new Map<string, { k: (typeof good)[number]['k']; accepted: [number, string]; until: Us; touched: Us }[]>();
+      for (const { k, l } of good) for (const e of l.keys) if (end === null || e.key <= end) byKey.set(e.key, [...(byKey.get(e.key) ?? []), { k, accepted: e.accepted, until: e.until, touched: e.touched }]);
+      const wall = Math.min(...good.map((g) => g.l.wall));
+      for (const [key, copies] of [...byKey].sort(([a], [b]) => (a < b ? -1 : 1))) {
+        if (!o.still()) return r;
+        r.seen += 1;
+        const first = copies[0]!;
+        const same = copies.length === good.length && copies.every((c) => ballot.cmp(c.accepted, first.accepted) === 0);
+        if (good.length === group.members.length && same && copies.every((c) => Math.max(c.until, c.touched) + grace < wall)) {
+          await Promise.all(copies.map((c) => pipe.ask(c.k.at, 'reg.purge', { to: c.k.id, group, key, ballot: first.accepted, wall }).catch(() => undefined)));
+          r.purged += 1;
+        } else if (o.all || !same) {
+          try { await registers.settleKey(key, us.s(2)); } catch { return r; }
+          if (!same) r.mended += 1;
+        }
+        o.progress?.(r.seen);
+        if (o.pause > 0) await time.sleep(clock, o.pause);
+      }
+      if (end === null) { r.complete = true; return r; }
+      after = end;
+    }
+    return r;
+  },
+};
--- /dev/null
+++ b/packages/lens/src/index.ts
@@ -0,0 +1,157 @@
+// lens: everything a part may ask of the outside, as plain functions (§2.1).
+// The real ones are in real.ts; fog brings simulated ones. A part takes a Lens and nothing else.
+import VError from 'verror';
+
+/** Whole microseconds. */
+export type Us = number;
+export const us = {
+  ms: (n: number): Us => Math.round(n * 1_000),
+  s: (n: number): Us => Math.round(n * 1_000_000),
+  toMs: (t: Us): number => Math.round(t / 1_000),
+};
+
+/** "ip:port", by number. */
+export type Place = string;
+export const place = {
+  host: (at: Place): string => at.slice(0, at.lastIndexOf(':')),
+  port: (at: Place): number => Number(at.slice(at.lastIndexOf(':') + 1)),
+  ok: (at: unknown): at is Place =>
+    typeof at === 'string' && /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/.test(at) && place.port(at) <= 65_535,
+};
+
+export type Stop = () => void;
+export type Clock = {
+  /** Monotonic; means nothing outside this process. */
+  now: () => Us;
+  /** Wall time since 1970, for what must be read by others. */
+  wall: () => Us;
+  tick: (after: Us, fn: () => void) => Stop;
+};
+
+export type Rand = { next: () => number; int: (below: number) => number; id: () => string };
+
+/** One file for one name. `put` resolves once the bytes are synced under their name (§6.1). */
+export type Disk = {
+  put: (name: string, text: string) => Promise<void>;
+  get: (name: string) => Promise<string | undefined>;
+  list: () => Promise<string[]>;
+  drop: (name: string) => Promise<void>;
+};
+
+export type Frames = { at: Place; send: (to: Place, text: string) => void; close: () => Promise<void> };
+
+export type HttpAsk = { method: string; path: string; query: Record<string, string>; headers: Record<string, string>; body: string; tooBig: boolean };
+export type HttpSay = {
+  head: (status: number, headers: Record<string, string>) => void;
+  /** False when the reader is slow: wait for `drained` before the next piece. */
+  write: (text: string) => boolean;
+  drained: () => Promise<void>;
+  end: (text?: string) => void;
+  /** Breaks the stream off so that it cannot look complete (§5.6). */
+  cut: () => void;
+  gone: () => boolean;
+  onGone: (fn: () => void) => void;
+};
+export type HttpHandler = (ask: HttpAsk, say: HttpSay) => void | Promise<void>;
+export type HttpCall = {
+  at: Place; method: string; path: string; headers?: Record<string, string>; body?: string;
+  /** Limit for the head of the result. */
+  timeLeft: Us;
+  /** Limit for silence within the body. */
+  silence?: Us;
+  /** Never reuse a kept pipe (§5.4). */
+  fresh?: boolean;
+};
+export type HttpResult = { status: number; headers: Record<string, string>; body: AsyncIterable<string>; cut: () => void };
+export type Net = {
+  frames: (at: Place, onFrame: (from: Place, text: string) => void) => Promise<Frames>;
+  serve: (at: Place, handler: HttpHandler, maxBody: number) => Promise<{ at: Place; close: () => Promise<void> }>;
+  call: (c: HttpCall) => Promise<HttpResult>;
+};
+
+export type Log = (text: string) => void;
+export type Lens = { clock: Clock; rand: Rand; disk: Disk; net: Net; log: (part: string) => Log };
+
+/** Errors carry the step and the sibling at which they arose (§2.4). */
+export type FaultInfo = { step: string; sibling?: string; sent?: boolean; code?: string };
+export const fault = {
+  make: (info: FaultInfo, text: string, cause?: unknown): Error =>
+    new VError({ name: 'Fault', cause: cause instanceof Error ? cause : undefined, info }, '%s', `${info.step}${info.sibling ? ` at ${info.sibling}` : ''}: ${text}`),
+  info: (e: unknown): Partial<FaultInfo> => (e instanceof Error ? (VError.info(e) as Partial<FaultInfo>) : {}),
+  text: (e: unknown): string => (e instanceof Error ? e.message : String(e)),
+  /** True only if nothing was sent and nothing can be (§5.4). */
+  notSent: (e: unknown): boolean => fault.info(e).sent === false,
+};
+
+/** A check inside the code. A breach is counted and thrown: it is never a normal result (§9.1). */
+const breaches: string[] = [];
+export const invariant = {
+  hold: (ok: boolean, text: string): void => {
+    if (ok) return;
+    breaches.push(text);
+    throw new VError({ name: 'Breach' }, '%s', `invariant: ${text}`);
+  },
+  breaches: (): readonly string[] => breaches,
+  clear: (): void => void breaches.splice(0),
+};
+
+/** A short lock: one holder at a time, first come first served (§2.3). */
+export type Lock = <T>(fn: () => Promise<T>) => Promise<T>;
+export const lock = {
+  one: (): Lock => {
+    let tail: Promise<unknown> = Promise.resolve();
+    return (fn) => {
+      const run = tail.then(fn, fn);
+      tail = run.catch(() => undefined);
+      return run;
+    };
+  },
+  keyed: (): (<T>(key: string, fn: () => Promise<T>) => Promise<T>) => {
+    const held = new Map<string, { lock: Lock; users: number }>();
+    return async (key, fn) => {
+      const it = held.get(key) ?? { lock: lock.one(), users: 0 };
+      held.set(key, it);
+      it.users += 1;
+      try {
+        return await it.lock(fn);
+      } finally {
+        it.users -= 1;
+        if (it.users === 0) held.delete(key);
+      }
+    };
+  },
+};
+
+export const time = {
+  sleep: (clock: Clock, after: Us): Promise<void> => new Promise((done) => void clock.tick(after, done)),
+  /** Calls fn every `every`; a slow or failed round delays the next, never overlaps it. */
+  every: (clock: Clock, every: Us, fn: () => void | Promise<void>): Stop => {
+    let off = false;
+    let stop: Stop = () => undefined;
+    const again = (): void => {
+      if (!off) stop = clock.tick(every, () => void Promise.resolve().then(fn).catch(() => undefined).then(again));
+    };
+    again();
+    return () => {
+      off = true;
+      stop();
+    };
+  },
+  limit: <T>(clock: Clock, left: Us, work: Promise<T>, late: () => Error): Promise<T> =>
+    new Promise((done, fail) => {
+      const stop = clock.tick(left, () => fail(late()));
+      work.then((v) => { stop(); done(v); }, (e) => { stop(); fail(e); });
+    }),
+};
+
+/** Stable string hash (FNV-1a, 32 bit), for ring places and file names. */
+export const hash = {
+  of: (s: string): number => {
+    let h = 0x811c9dc5;
+    for (let i = 0; i < s.length; i++) h = Math.imul(h ^ s.charCodeAt(i), 0x01000193) >>> 0;
+    h ^= h >>> 16; h = Math.imul(h, 0x85ebca6b) >>> 0; h ^= h >>> 13;
+    return h >>> 0;
+  },
+};
+export { seeded } from './seeded.js';
+export { real } from './real.js';
--- /dev/null
+++ b/packages/lens/src/real.ts
@@ -0,0 +1,235 @@
+// The real outside: the system clock, a data folder, TCP frames, polka and undici (§2.1).
+import { randomBytes } from 'node:crypto';
+import { promises as fs } from 'node:fs';
+import http from 'node:http';
+import net from 'node:net';
+import path from 'node:path';
+import debug from 'debug';
+import polka from 'polka';
+import { Agent, Client, request, type Dispatcher } from 'undici';
+import { fault, place, us, type Clock, type Disk, type Frames, type HttpCall, type HttpResult, type HttpSay, type Lens, type Net, type Place, type Rand } from './index.js';
+
+const clock: Clock = {
+  now: () => Number(process.hrtime.bigint() / 1000n),
+  wall: () => Math.round(performance.timeOrigin * 1000 + performance.now() * 1000),
+  tick: (after, fn) => {
+    const t = setTimeout(fn, Math.max(0, after / 1000));
+    return () => clearTimeout(t);
+  },
+};
+
+const rand: Rand = {
+  next: () => randomBytes(4).readUInt32BE() / 4_294_967_296,
+  int: (below) => Math.floor(rand.next() * below),
+  id: () => randomBytes(9).toString('hex'),
+};
+
+/** Written aside, synced, renamed, folder synced (§6.1). */
+const disk = (folder: string): Disk => {
+  const syncFolder = async (): Promise<void> => {
+    const d = await fs.open(folder, 'r');
+    try { await d.sync(); } finally { await d.close(); }
+  };
+  let made: Promise<unknown> | undefined;
+  const ready = (): Promise<unknown> => (made ??= fs.mkdir(folder, { recursive: true }));
+  let n = 0;
+  return {
+    put: async (name, text) => {
+      await ready();
+      const aside = path.join(folder, `.aside-${process.pid}-${n++}`);
+      const f = await fs.open(aside, 'w');
+      try {
+        await f.writeFile(text, 'utf8');
+        await f.datasync();
+      } finally {
+        await f.close();
+      }
+      await fs.rename(aside, path.join(folder, name));
+      await syncFolder();
+    },
+    get: async (name) => fs.readFile(path.join(folder, name), 'utf8').catch((e: NodeJS.ErrnoException) => {
+      if (e.code === 'ENOENT') return undefined;
+      throw fault.make({ step: 'disk.get' }, name, e);
+    }),
+    list: async () => {
+      await ready();
+      const all = await fs.readdir(folder);
+      await Promise.all(all.filter((f) => f.startsWith('.aside-') && !f.startsWith(`.aside-${process.pid}-`)).map((f) => fs.rm(path.join(folder, f), { force: true })));
+      return all.filter((f) => !f.startsWith('.aside-')).sort();
+    },
+    drop: async (name) => fs.rm(path.join(folder, name), { force: true }),
+  };
+};
+
+const maxFrame = 16 << 20;
+const maxBuffered = 8 << 20;
+
+/** One TCP pipe each way between two places; frames are length-prefixed, the first names the sender (§3.1). */
+const frames: Net['frames'] = (at, onFrame) => new Promise((done, fail) => {
+  const out = new Map<Place, net.Socket>();
+  const inn = new Set<net.Socket>();
+  const write = (s: net.Socket, text: string): void => {
+    const b = Buffer.from(text, 'utf8');
+    const h = Buffer.allocUnsafe(4);
+    h.writeUInt32BE(b.length);
+    s.cork(); s.write(h); s.write(b); s.uncork();
+  };
+  let self: Place = at;
+  const server = net.createServer((s) => {
+    inn.add(s);
+    s.setNoDelay(true);
+    let parts: Buffer[] = [];
+    let size = 0;
+    let from: Place | undefined;
+    s.on('data', (d) => {
+      parts.push(d);
+      size += d.length;
+      let buf: Buffer | undefined;
+      while (size >= 4) {
+        buf = parts.length === 1 ? parts[0]! : Buffer.concat(parts);
+        const len = buf.readUInt32BE(0);
+        if (len > maxFrame) { s.destroy(); return; }
+        if (size < 4 + len) { parts = [buf]; return; }
+        const text = buf.toString('utf8', 4, 4 + len);
+        buf = buf.subarray(4 + len);
+        parts = buf.length ? [buf] : [];
+        size = buf.length;
+        if (from === undefined) from = text;
+        else onFrame(from, text);
+      }
+    });
+    s.on('error', () => s.destroy());
+    s.on('close', () => inn.delete(s));
+  });
+  const send: Frames['send'] = (to, text) => {
+    let s = out.get(to);
+    if (!s || s.destroyed) {
+      s = net.connect({ host: place.host(to), port: place.port(to), localAddress: place.host(self) });
+      s.setNoDelay(true);
+      s.on('error', () => undefined);
+      const mine = s;
+      s.on('close', () => { if (out.get(to) === mine) out.delete(to); });
+      s.setTimeout(30_000, () => mine.destroy());
+      out.set(to, s);
+      write(s, self);
+    }
+    if (s.writableLength < maxBuffered) write(s, text);
+  };
+  server.on('error', (e) => fail(fault.make({ step: 'frames.bind', sibling: at }, e.message, e)));
+  server.listen(place.port(at), place.host(at), () => {
+    const a = server.address() as net.AddressInfo;
+    self = `${a.address}:${a.port}`;
+    done({
+      at: self, send,
+      close: () => new Promise((fin) => {
+        for (const s of [...out.values(), ...inn]) s.destroy();
+        server.close(() => fin());
+      }),
+    });
+  });
+});
+
+const flat = (h: http.IncomingHttpHeaders | Dispatcher.ResponseData['headers']): Record<string, string> => {
+  const o: Record<string, string> = {};
+  for (const [k, v] of Object.entries(h)) if (v !== undefined) o[k.toLowerCase()] = Array.isArray(v) ? v.join(', ') : String(v);
+  return o;
+};
+
+const say = (res: http.ServerResponse): HttpSay => ({
+  head: (status, headers) => void res.writeHead(status, headers),
+  write: (text) => res.destroyed || res.write(text),
+  drained: () => new Promise((fin) => {
+    if (res.destroyed || !res.writableNeedDrain) { fin(); return; }
+    res.once('drain', fin);
+    res.once('close', fin);
+  }),
+  end: (text) => void res.end(text),
+  cut: () => void res.destroy(),
+  gone: () => res.destroyed,
+  onGone: (fn) => void res.once('close', fn),
+});
+
+const serve: Net['serve'] = (at, handler, maxBody) => new Promise((done, fail) => {
+  const server = http.createServer();
+  server.keepAliveTimeout = 5_000;
+  const app = polka({ server, onError: (_e, _req, res) => void (res as http.ServerResponse).destroy(), onNoMatch: (req, res) => {
+    const raw = req as unknown as http.IncomingMessage;
+    const out = say(res as http.ServerResponse);
+    const parts: Buffer[] = [];
+    let size = 0;
+    let tooBig = false;
+    raw.on('data', (d: Buffer) => {
+      size += d.length;
+      if (size > maxBody) { tooBig = true; parts.length = 0; } else parts.push(d);
+      if (size > maxBody * 4) raw.destroy();
+    });
+    raw.on('end', () => {
+      const u = new URL(raw.url ?? '/', 'http://x');
+      const ask = { method: raw.method ?? 'GET', path: u.pathname, query: Object.fromEntries(u.searchParams), headers: flat(raw.headers), body: Buffer.concat(parts).toString('utf8'), tooBig };
+      Promise.resolve().then(() => handler(ask, out)).catch(() => out.cut());
+    });
+  } });
+  server.on('error', (e) => fail(fault.make({ step: 'http.bind', sibling: at }, e.message, e)));
+  app.listen(place.port(at), place.host(at), () => {
+    const a = server.address() as net.AddressInfo;
+    done({ at: `${a.address}:${a.port}`, close: () => new Promise((fin) => {
+      server.close(() => fin());
+      server.closeIdleConnections();
+    }) });
+  });
+});
+
+const neverSent = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT']);
+const agent = new Agent({ keepAliveTimeout: 2_000, keepAliveMaxTimeout: 2_000, connect: { timeout: 800 }, bodyTimeout: 0, headersTimeout: 0, pipelining: 1, 'connections': 256 });
+
+const call = async (c: HttpCall): Promise<HttpResult> => {
+  const own = c.fresh ? new Client(`http://${c.at}`, { connect: { timeout: 800 }, bodyTimeout: 0, headersTimeout: 0, pipelining: 1 }) : undefined;
+  const drop = (): void => void own?.destroy().catch(() => undefined);
+  const ac = new AbortController();
+  const late = setTimeout(() => ac.abort(), Math.max(1, c.timeLeft / 1000));
+  let res: Dispatcher.ResponseData;
+  try {
+    res = await request(`http://${c.at}${c.path}`, {
+      method: c.method as Dispatcher.HttpMethod, headers: c.headers, body: c.body, signal: ac.signal, dispatcher: own ?? agent,
+    });
+  } catch (e) {
+    drop();
+    const code = (e as NodeJS.ErrnoException).code ?? (e as Error).name;
+    throw fault.make({ step: 'http.call', sibling: c.at, sent: !neverSent.has(code), code }, fault.text(e), e);
+  } finally {
+    clearTimeout(late);
+  }
+  const silence = c.silence ?? us.s(30);
+  const cut = (): void => { res.body.on('error', () => undefined); res.body.destroy(); drop(); };
+  const body = async function* (): AsyncIterable<string> {
+    const dec = new TextDecoder();
+    let quiet: NodeJS.Timeout | undefined;
+    const arm = (): void => { clearTimeout(quiet); quiet = setTimeout(() => res.body.destroy(new Error('silence')), silence / 1000); };
+    try {
+      arm();
+      for await (const d of res.body) {
+        clearTimeout(quiet);
+        yield dec.decode(d as Uint8Array, { stream: true });
+        arm();
+      }
+      const rest = dec.decode();
+      if (rest) yield rest;
+    } catch (e) {
+      throw fault.make({ step: 'http.body', sibling: c.at, sent: true }, fault.text(e), e);
+    } finally {
+      clearTimeout(quiet);
+      drop();
+    }
+  };
+  return { status: res.statusCode, headers: flat(res.headers), body: body(), cut };
+};
+
+const logs = (part: string): ((text: string) => void) => {
+  const d = debug(`thornsail:${part}`);
+  return (text) => d('%s', text);
+};
+
+export const real = {
+  lens: (folder: string): Lens => ({ clock, rand, disk: disk(folder), net: { frames, serve, call }, log: logs }),
+  clock, rand, disk,
+};
--- /dev/null
+++ b/packages/logbook/src/index.ts
@@ -0,0 +1,64 @@
+// logbook: documents kept on disk, one file for each version, with a checksum so that a torn file is recognised (§6.1).
+import { hash, lock, type Disk } from '@thornsail/lens';
+
+export type Logbook = {
+  /** The newest sound version of a document. */
+  read: <T>(name: string) => Promise<{ mark: number; value: T } | undefined>;
+  /** Resolves once synced. Older versions are dropped only afterwards. */
+  write: (name: string, mark: number, value: unknown) => Promise<void>;
+  remove: (name: string) => Promise<void>;
+  names: () => string[];
+  counts: () => { syncs: number; torn: number };
+};
+
+const enc = (s: string): string => encodeURIComponent(s).replace(/\*/g, '%2A').replace(/\./g, '%2E');
+const file = (name: string, mark: number): string => `${enc(name)}.${String(mark).padStart(12, '0')}`;
+const seal = (text: string): string => `${hash.of(text).toString(16)} ${text.length}\n${text}`;
+const unseal = (raw: string): string | undefined => {
+  const i = raw.indexOf('\n');
+  if (i < 0) return undefined;
+  const text = raw.slice(i + 1);
+  return raw.slice(0, i) === `${hash.of(text).toString(16)} ${text.length}` ? text : undefined;
+};
+
+export const logbook = {
+  open: async (disk: Disk): Promise<Logbook> => {
+    const have = new Map<string, number[]>();
+    const c = { syncs: 0, torn: 0 };
+    for (const f of await disk.list()) {
+      const i = f.lastIndexOf('.');
+      if (i < 1 || !/^\d{12}$/.test(f.slice(i + 1))) continue;
+      const name = decodeURIComponent(f.slice(0, i));
+      have.set(name, [...(have.get(name) ?? []), Number(f.slice(i + 1))].sort((a, b) => a - b));
+    }
+    const keyed = lock.keyed();
+    return {
+      read: async <T>(name: string) => {
+        for (const mark of [...(have.get(name) ?? [])].reverse()) {
+          const raw = await disk.get(file(name, mark));
+          const text = raw === undefined ? undefined : unseal(raw);
+          if (text !== undefined) return { mark, value: JSON.parse(text) as T };
+          c.torn += 1;
+        }
+        return undefined;
+      },
+      write: (name, mark, value) => keyed(name, async () => {
+        await disk.put(file(name, mark), seal(JSON.stringify(value)));
+        c.syncs += 1;
+        const old = (have.get(name) ?? []).filter((m) => m !== mark);
+        have.set(name, [...old, mark].sort((a, b) => a - b));
+        const newest = Math.max(mark, ...old);
+        for (const m of old) if (m < newest) {
+          await disk.drop(file(name, m));
+          have.set(name, (have.get(name) ?? []).filter((x) => x !== m));
+        }
+      }),
+      remove: (name) => keyed(name, async () => {
+        for (const m of have.get(name) ?? []) await disk.drop(file(name, m));
+        have.delete(name);
+      }),
+      names: () => [...have.keys()],
+      counts: () => ({ ...c }),
+    };
+  },
+};
--- /dev/null
+++ b/packages/lookout/src/index.ts
@@ -0,0 +1,60 @@
+// lookout: each node sends heartbeats to the few watchers that its place on a ring names (§3.2).
+// A watcher only suspects; the core rules, and only when two agree.
+import { hash, time, us, type Lens, type Place, type Us } from '@thornsail/lens';
+import type { Pipe } from '@thornsail/pipe';
+
+export type Sibling = { id: string; place: Place; inc: number };
+export type Lookout = { suspects: () => Sibling[]; watched: () => string[]; close: () => void };
+export type LookoutTimes = { beat: Us; silent: Us; watchers: number };
+const times: LookoutTimes = { beat: us.ms(200), silent: us.ms(1000), watchers: 3 };
+
+export const ring = {
+  sorted: <T extends { id: string }>(all: T[]): T[] => [...all].sort((a, b) => hash.of(a.id) - hash.of(b.id) || (a.id < b.id ? -1 : 1)),
+  /** The watchers of a node: the next few on the ring after it. */
+  watchers: <T extends { id: string }>(all: T[], id: string, n: number): T[] => {
+    const r = ring.sorted(all);
+    const i = r.findIndex((x) => x.id === id);
+    if (i < 0) return [];
+    return Array.from({ length: Math.min(n, r.length - 1) }, (_, k) => r[(i + 1 + k) % r.length]!);
+  },
+};
+
+export const lookout = {
+  open: (o: { lens: Lens; pipe: Pipe; self: () => Sibling; roster: () => Sibling[]; report: (s: Sibling[]) => void; times?: Partial<LookoutTimes> }): Lookout => {
+    const { lens, pipe } = o;
+    const { clock } = lens;
+    const T = { ...times, ...o.times };
+    const heard = new Map<string, { inc: number; at: Us }>();
+    let lastRound = clock.now();
+    let suspects: Sibling[] = [];
+    pipe.on<{ id: string; inc: number }>('beat', ({ id, inc }) => {
+      const h = heard.get(id);
+      if (!h || inc >= h.inc) heard.set(id, { inc, at: clock.now() });
+    });
+    const watched = (): Sibling[] => {
+      const self = o.self();
+      const all = o.roster();
+      return all.filter((n) => n.id !== self.id && ring.watchers(all, n.id, T.watchers).some((w) => w.id === self.id));
+    };
+    const round = (): void => {
+      const now = clock.now();
+      const self = o.self();
+      const all = o.roster();
+      for (const w of ring.watchers(all, self.id, T.watchers)) pipe.tell(w.place, 'beat', { id: self.id, inc: self.inc });
+      const mine = watched();
+      const frozen = now - lastRound > T.beat * 3;
+      lastRound = now;
+      const ids = new Set(mine.map((n) => n.id));
+      for (const id of heard.keys()) if (!ids.has(id)) heard.delete(id);
+      for (const n of mine) {
+        const h = heard.get(n.id);
+        // After a freeze of its own, or on first watching, a watcher knows nothing about the silence.
+        if (!h || frozen) heard.set(n.id, { inc: Math.max(h?.inc ?? 0, n.inc), at: now });
+      }
+      suspects = mine.filter((n) => now - heard.get(n.id)!.at > T.silent);
+      if (suspects.length) o.report(suspects);
+    };
+    const stop = time.every(clock, T.beat, round);
+    return { suspects: () => suspects, watched: () => watched().map((n) => n.id), close: stop };
+  },
+};
--- /dev/null
+++ b/packages/mooring/src/index.ts
@@ -0,0 +1,156 @@
+// mooring: what every node does to be one of the fleet (§3.2): find the siblings from any live seed,
+// join the roster, refute a wrong death, hold the newest agreed state, and notice its own freezes.
+import { beam, type Beam } from '@thornsail/beam';
+import { time, us, type Lens, type Place, type Us } from '@thornsail/lens';
+import { lookout, type Lookout } from '@thornsail/lookout';
+import type { Pipe } from '@thornsail/pipe';
+import { coreClient, order, type CoreClient, type NodeEntry, type NodeRole, type Ordered, type Marked } from '@thornsail/tower';
+
+type Hello = { place: Place; role: NodeRole };
+type HelloResult = { known: Hello[]; order: Marked<Ordered> | null };
+export type Mooring = {
+  id: string;
+  beam: Beam;
+  core: CoreClient;
+  lookout: Lookout;
+  state: () => Ordered | undefined;
+  mark: () => number;
+  marked: () => Marked<Ordered> | undefined;
+  inRoster: () => boolean;
+  inc: () => number;
+  /** True when this process has just been frozen and has not yet refreshed its news (§3.7). */
+  stale: () => boolean;
+  refresh: (timeLeft?: Us) => Promise<boolean>;
+  onState: (fn: (s: Ordered, mark: number) => void) => void;
+  leave: () => Promise<void>;
+  close: () => void;
+};
+
+const freezeLimit = us.ms(700);
+
+export const mooring = {
+  open: (o: { lens: Lens; pipe: Pipe; id: string; name: string; role: NodeRole; http: Place; zone: string; seeds: Place[]; towers?: Place[]; beside?: Place }): Mooring => {
+    const { lens, pipe, id, role } = o;
+    const { clock, rand } = lens;
+    const log = lens.log('mooring');
+    const known = new Map<Place, NodeRole | ''>();
+    for (const s of [...o.seeds, ...(o.beside ? [o.beside] : [])]) if (s !== pipe.at) known.set(s, '');
+    for (const t of o.towers ?? []) if (t !== pipe.at) known.set(t, 'tower');
+    let inc = 1;
+    let leaving = false;
+    let closed = false;
+    let lastTick = clock.now();
+    let frozen = false;
+    const marked = (): Marked<Ordered> | undefined => b.get('order')?.value as Marked<Ordered> | undefined;
+    const state = (): Ordered | undefined => marked()?.state;
+    const live = (): NodeEntry[] => { const s = state(); return s ? order.live(s) : []; };
+    const relays = (): { id: string; place: Place }[] => live().filter((n) => n.role !== 'front');
+    let besideBad = 0;
+    const b = beam.open({
+      lens, pipe, self: id, leaf: role === 'front', relays,
+      attachTo: () => {
+        if (!o.beside) return undefined;
+        const n = live().find((x) => x.place === o.beside);
+        return besideBad > clock.now() || (state() && !n) ? undefined : o.beside;
+      },
+      others: () => [...known.keys()].filter((p) => p !== pipe.at),
+    });
+    const core = coreClient.open({
+      lens, pipe,
+      towers: () => {
+        const v = marked();
+        const from = v ? v.members.map((m) => m.at) : [];
+        const said = [...known].filter(([, r]) => r === 'tower').map(([p]) => p);
+        return [...new Set([...from, ...said])];
+      },
+    });
+    const look = lookout.open({
+      lens, pipe, self: () => ({ id, place: pipe.at, inc }),
+      roster: live,
+      report: (list) => {
+        const v = marked();
+        for (const m of v?.members ?? []) pipe.tell(m.at, 'core', { op: 'suspect', list: list.map((s) => ({ by: id, id: s.id, inc: s.inc })) });
+      },
+    });
+    const inRoster = (): boolean => {
+      const me = state()?.roster[id];
+      return me !== undefined && me.standing !== 'dead' && me.inc === inc && (me.standing === 'leaving') === leaving;
+    };
+    const remember = (list: Hello[]): void => {
+      for (const h of list) if (h.place !== pipe.at && (known.size < 256 || known.has(h.place))) known.set(h.place, h.role || (known.get(h.place) ?? ''));
+    };
+    pipe.on<Hello>('hello', (h): HelloResult => {
+      const list = [...known].map(([p, r]) => ({ place: p, role: r as NodeRole }));
+      remember([h]);
+      return { known: [...list, { place: pipe.at, role }], order: marked() ?? null };
+    });
+    const hello = async (to: Place): Promise<void> => {
+      const r = await pipe.ask<HelloResult>(to, 'hello', { place: pipe.at, role }, us.ms(400));
+      remember(r.known);
+      if (r.order) b.put('order', r.order.seq, r.order);
+    };
+    const watchers: ((s: Ordered, mark: number) => void)[] = [];
+    b.on((n) => {
+      if (n.name !== 'order') return;
+      const v = n.value as Marked<Ordered>;
+      remember(order.live(v.state).map((x) => ({ place: x.place, role: x.role })));
+      b.drop((k) => {
+        const i = k.indexOf('/');
+        if (i < 0) return true;
+        const n2 = v.state.roster[k.slice(i + 1)];
+        return n2 === undefined || n2.standing !== 'dead';
+      });
+      for (const w of watchers) w(v.state, v.seq);
+    });
+    const join = async (): Promise<void> => {
+      const me = state()?.roster[id];
+      if (me && me.standing === 'dead' && me.inc >= inc) { inc = me.inc + 1; log(`was taken for dead; refutes with incarnation ${inc}.`); }
+      const r = await core.ask<{ ok: boolean; inc: number }>({ op: 'join', node: { id, name: o.name, role, place: pipe.at, http: o.http, zone: o.zone, inc, leaving } }, us.s(2));
+      if (!r.value.ok) inc = Math.max(inc, r.value.inc + 1);
+      if ((b.get('order')?.mark ?? -1) < r.seq) for (const p of [...core_places()]) if (await b.refresh(p, us.ms(300))) break;
+    };
+    const core_places = (): Place[] => marked()?.members.map((m) => m.at) ?? [...known].filter(([, r]) => r === 'tower').map(([p]) => p);
+    const stops = [
+      time.every(clock, us.ms(100), () => {
+        const now = clock.now();
+        if (now - lastTick > freezeLimit) { frozen = true; log('woke from a freeze.'); }
+        lastTick = now;
+        if (frozen) void refresh();
+        if (o.beside && now - b.heardAt() > us.ms(800)) besideBad = now + us.s(1);
+      }),
+      time.every(clock, us.ms(200), async () => {
+        if (closed) return;
+        if (!state()) {
+          const all = [...known.keys()];
+          // The seeds first, then whoever they named.
+          const some = all.length > 4 ? Array.from({ length: 4 }, () => all[rand.int(all.length)]!) : all;
+          await Promise.all([...new Set(some)].map((p) => hello(p).catch(() => undefined)));
+        }
+        if (!inRoster() && (state() || [...known.values()].includes('tower'))) await join().catch(() => undefined);
+      }),
+    ];
+    const stale = (): boolean => frozen || clock.now() - lastTick > freezeLimit;
+    let refreshing: Promise<boolean> | undefined;
+    const refresh = (left: Us = us.ms(300)): Promise<boolean> => (refreshing ??= (async () => {
+      const first = o.beside ? [o.beside] : [];
+      const rest = [...core_places(), ...relays().map((r) => r.place)].filter((p) => p !== pipe.at && p !== o.beside);
+      // One that answers is not enough if it slept too: a core place or two relays.
+      const asked = [...first, ...rest.slice(0, 4)];
+      const got = await Promise.all(asked.map((p) => b.refresh(p, left)));
+      const ok = got.filter(Boolean).length >= Math.min(2, asked.length) && asked.length > 0;
+      if (ok) { frozen = false; lastTick = clock.now(); }
+      return ok;
+    })().finally(() => { refreshing = undefined; }));
+    return {
+      id, beam: b, core, lookout: look, state, marked, inRoster, stale, refresh,
+      mark: () => marked()?.seq ?? 0,
+      inc: () => inc,
+      onState: (fn) => void watchers.push(fn),
+      leave: async () => {
+        leaving = true;
+        await join().catch(() => undefined);
+      },
+      close: () => { closed = true; for (const s of stops) s(); look.close(); b.close(); },
+    };
+  },
+};
--- /dev/null
+++ b/packages/pipe/src/index.ts
@@ -0,0 +1,86 @@
+// pipe: framed devalue between siblings; ask, tell, and polite rejection of foreign protocol marks (§3.1).
+import { parse, stringify } from 'devalue';
+import { fault, us, type Lens, type Place, type Us } from '@thornsail/lens';
+
+/** The protocol mark this build speaks, and the oldest it still understands (§3.4). */
+export const protocol = { mark: 1, oldest: 1 };
+
+type Frame = { p: number; k: 'tell' | 'ask' | 'result' | 'fault'; t: string; n: number; b: unknown };
+export type Handler = (body: never, from: Place) => unknown;
+export type Pipe = {
+  at: Place;
+  tell: (to: Place, kind: string, body: unknown) => void;
+  ask: <T>(to: Place, kind: string, body: unknown, timeLeft?: Us) => Promise<T>;
+  on: <B>(kind: string, fn: (body: B, from: Place) => unknown) => void;
+  counts: () => { sent: number; got: number };
+  close: () => Promise<void>;
+};
+
+export const pipe = {
+  open: async (lens: Lens, at: Place): Promise<Pipe> => {
+    const log = lens.log('pipe');
+    const handlers = new Map<string, (body: unknown, from: Place) => unknown>();
+    const open = new Map<number, { done: (v: unknown) => void; fail: (e: Error) => void; to: Place; kind: string }>();
+    let n = 0;
+    const c = { sent: 0, got: 0 };
+    let closed = false;
+    const send = (to: Place, f: Omit<Frame, 'p'>): void => {
+      if (closed) return;
+      c.sent += 1;
+      frames.send(to, stringify({ p: protocol.mark, ...f }));
+    };
+    const got = (from: Place, text: string): void => {
+      if (closed) return;
+      c.got += 1;
+      let f: Frame;
+      try { f = parse(text) as Frame; } catch { log(`unreadable frame from ${from}.`); return; }
+      if (f.k === 'result' || f.k === 'fault') {
+        const w = open.get(f.n);
+        if (!w || w.to !== from) return;
+        open.delete(f.n);
+        if (f.k === 'result') w.done(f.b);
+        else w.fail(fault.make({ step: w.kind, sibling: from, code: 'remote' }, String(f.b)));
+        return;
+      }
+      if (f.p < protocol.oldest || f.p > protocol.mark) {
+        log(`rejected protocol mark ${f.p} from ${from}.`);
+        if (f.k === 'ask') send(from, { k: 'fault', t: f.t, n: f.n, b: `protocol mark ${f.p} is not spoken here (${protocol.oldest} to ${protocol.mark})` });
+        return;
+      }
+      const h = handlers.get(f.t);
+      if (!h) {
+        if (f.k === 'ask') send(from, { k: 'fault', t: f.t, n: f.n, b: `no such message: ${f.t}` });
+        return;
+      }
+      const run = Promise.resolve().then(() => h(f.b, from));
+      if (f.k === 'tell') { run.catch((e) => log(`${f.t} from ${from} failed: ${fault.text(e)}.`)); return; }
+      run.then((b) => send(from, { k: 'result', t: f.t, n: f.n, b }), (e) => send(from, { k: 'fault', t: f.t, n: f.n, b: fault.text(e) }));
+    };
+    const frames = await lens.net.frames(at, got);
+    return {
+      at: frames.at,
+      tell: (to, kind, body) => {
+        if (to === frames.at) void Promise.resolve().then(() => handlers.get(kind)?.(parse(stringify(body)), to));
+        else send(to, { k: 'tell', t: kind, n: 0, b: body });
+      },
+      ask: <T>(to: Place, kind: string, body: unknown, timeLeft: Us = us.ms(500)) => new Promise<T>((done, fail) => {
+        if (to === frames.at) {
+          const h = handlers.get(kind);
+          if (!h) { fail(fault.make({ step: kind, sibling: to }, 'no such message')); return; }
+          Promise.resolve().then(() => h(parse(stringify(body)), to)).then((v) => done(v as T), fail);
+          return;
+        }
+        const id = ++n;
+        const stop = lens.clock.tick(timeLeft, () => {
+          open.delete(id);
+          fail(fault.make({ step: kind, sibling: to, code: 'late' }, 'no result in time'));
+        });
+        open.set(id, { to, kind, done: (v) => { stop(); done(v as T); }, fail: (e) => { stop(); fail(e); } });
+        send(to, { k: 'ask', t: kind, n: id, b: body });
+      }),
+      on: (kind, fn) => void handlers.set(kind, fn as (body: unknown, from: Place) => unknown),
+      counts: () => ({ ...c }),
+      close: async () => { closed = true; await frames.close(); },
+    };
+  },
+};
--- /dev/null
+++ b/packages/roadstead/src/index.ts
@@ -0,0 +1,3 @@
+export { shapes, layout, ports, classNames, type Shape, type ShapeName, type Layout, type Machine } from './shapes.js';
+export { standIns, ledger, standText, standTokens, type Ledger, type StandIn } from './standins.js';
+export { callers, audit, type Callers, type Summary } from './callers.js';
--- /dev/null
+++ b/packages/signal/src/index.ts
@@ -0,0 +1,135 @@
+// signal: what operators ask of any node over HTTP (§7.3). Agreed results carry the mark they were read at;
+// a node that cannot give the agreed result says so.
+import { chart } from '@thornsail/chart';
+import { dues, type Purse } from '@thornsail/dues';
+import { fault, us, type HttpAsk, type HttpHandler, type HttpSay, type Lens, type Place } from '@thornsail/lens';
+import type { Registers } from '@thornsail/keeper';
+import type { Mooring } from '@thornsail/mooring';
+import type { Pipe } from '@thornsail/pipe';
+import { order, type Member, type Ordered, type Push, type PushResult } from '@thornsail/tower';
+
+export type ReadResult = { state: Ordered; view: number; members: Member[]; news: NewsResult | null };
+export type NewsResult = { workers: { id: string; at: Place; kind: string; leaving: boolean }[]; loads: Record<string, unknown>; duties: Record<string, { by: string; mark: number }> };
+export type SignalNode = {
+  lens: Lens; pipe: Pipe; mooring: Mooring; registers: Registers; role: string; name: string;
+  ready: () => { ok: boolean; why: string[] };
+  counts: () => Record<string, number>;
+  drain: () => Promise<void>;
+};
+export const root = '/thornsail/v1';
+
+const json = (say: HttpSay, status: number, body: unknown, headers: Record<string, string> = {}): void => {
+  say.head(status, { 'content-type': 'application/json', ...headers });
+  say.end(JSON.stringify(body));
+};
+const metrics = (n: SignalNode): string => {
+  const lines: string[] = [];
+  const label = `{role="${n.role}",name="${n.name}"}`;
+  for (const [k, v] of Object.entries({ ...n.counts(), order_mark: n.mooring.mark(), ready: n.ready().ok ? 1 : 0 }).sort()) {
+    const m = `thornsail_${k.replace(/[^a-zA-Z0-9]/g, '_')}`;
+    lines.push(`# TYPE ${m} gauge`, `${m}${label} ${v}`);
+  }
+  return `${lines.join('\n')}\n`;
+};
+
+export const signal = {
+  handler: (n: SignalNode): HttpHandler => {
+    const read = (): Promise<{ seq: number; value: ReadResult }> => n.mooring.core.ask<ReadResult>({ op: 'read' }, us.s(3));
+    const push = async (ask: HttpAsk, say: HttpSay): Promise<void> => {
+      if (ask.tooBig) return json(say, 413, { error: 'too_large', field: 'body' });
+      let body: unknown;
+      try { body = JSON.parse(ask.body); } catch { return json(say, 400, { error: 'bad_json', field: 'body' }); }
+      const base = ask.headers['if-match']?.replace(/"/g, '');
+      if (base === undefined || !/^\d{1,12}$/.test(base)) return json(say, 428, { error: 'missing_field', field: 'if-match', message: 'the mark that the change is based on' });
+      const id = ask.headers['push-id'] ?? n.lens.rand.id();
+      if (!/^[\x21-\x7e]{1,100}$/.test(id)) return json(say, 400, { error: 'bad_field', field: 'push-id' });
+      const how: Push['how'] = ask.method === 'PUT' ? 'whole' : 'merge';
+      if (how === 'whole') {
+        // Said early where it can be; the towers judge all the same.
+        const c = chart.check(body);
+        if (!c.ok) return json(say, 422, { error: 'invalid', problems: c.problems });
+      }
+      const r = await n.mooring.core.ask<PushResult>({ op: 'push', push: { id, base: Number(base), how, body } }, us.s(5));
+      const v = r.value;
+      if (v.ok) return json(say, 200, { mark: v.mark, push: id, repeated: v.repeated === true }, { etag: `"${v.mark}"` });
+      if (v.why === 'collision') return json(say, 409, { error: 'collision', mark: v.mark, message: `the configuration is at mark ${v.mark}` });
+      return json(say, 422, { error: 'invalid', mark: v.mark, problems: v.problems });
+    };
+    const programs = async (s: Ordered, after: string, limit: number): Promise<unknown> => {
+      const group = { mark: s.keepers.mark, members: s.keepers.members };
+      const pages = await Promise.all(group.members.map((k) => n.pipe.ask<{ ok: boolean; keys?: { key: string }[] }>(k.at, 'reg.list', { to: k.id, group, after: after ? `program/${after}` : 'program/', limit }, us.ms(800)).catch(() => undefined)));
+      const good = pages.filter((p) => p?.ok);
+      if (good.length <= group.members.length / 2) throw fault.make({ step: 'programs', code: 'no-majority' }, 'no majority of keepers was reached');
+      const keys = [...new Set(good.flatMap((p) => p!.keys!.map((k) => k.key)))].filter((k) => k.startsWith('program/')).sort().slice(0, limit);
+      const rows = await Promise.all(keys.map(async (k) => ({ program: k.slice(8), purse: await n.registers.read(k, us.s(1)) as Purse | undefined })));
+      return rows.filter((r) => r.purse).map((r) => ({ program: r.program, budget: r.purse!.budget, spent: r.purse!.spent, left: dues.left(r.purse!), turns: r.purse!.turns, lost: r.purse!.lost, tokens: r.purse!.tokens, worker: r.purse!.worker, open: r.purse!.open?.by ?? null }));
+    };
+    const drain = async (ask: HttpAsk, say: HttpSay, target: string): Promise<void> => {
+      const { value: { state: s } } = await read();
+      const found = Object.values(s.roster).filter((x) => x.standing !== 'dead' && (x.name === target || x.id === target || x.place === target));
+      if (found.length !== 1) return json(say, found.length ? 409 : 404, { error: found.length ? 'ambiguous' : 'no_such_node', message: found.length ? `${found.length} nodes go by ${target}` : `there is no node ${target}` });
+      const node = found[0]!;
+      const on = ask.method !== 'DELETE';
+      if (node.role === 'keeper') {
+        if (ask.method !== 'GET') await n.mooring.core.ask({ op: 'drain', id: node.id, on }, us.s(4));
+        const now = (await read()).value.state;
+        const k = now.keepers;
+        const member = k.members.some((m) => m.id === node.id);
+        const safe = k.draining.includes(node.id) && !member && k.swept === k.mark;
+        const progress = k.draining.includes(node.id) ? (safe ? 'safe to remove' : member ? (k.swept === k.mark ? 'waiting for its turn' : 'copying to the new group') : 'copying to the new group') : 'not draining';
+        return json(say, 200, { node: node.name, id: node.id, state: progress, safe, members: k.members.length, mark: k.mark, swept: k.swept });
+      }
+      if (!on) return json(say, 400, { error: 'bad_method', message: 'only a keeper\'s drain can be taken back' });
+      if (node.role === 'tower') return json(say, 400, { error: 'bad_role', message: 'towers are replaced, not drained: stop one and start another' });
+      if (ask.method !== 'GET') await n.pipe.ask(node.place, 'node.drain', {}, us.s(2));
+      return json(say, 200, { node: node.name, id: node.id, state: 'leaving', safe: false });
+    };
+    const agreed = async (say: HttpSay, what: string, ask: HttpAsk): Promise<void> => {
+      const { seq, value } = await read();
+      const s = value.state;
+      const nodes = (): unknown => Object.values(s.roster).sort((a, b) => (a.role + a.name < b.role + b.name ? -1 : 1));
+      switch (what) {
+        case 'config': return json(say, 200, { mark: s.config.mark, config: s.config.value, raw: s.config.raw }, { etag: `"${s.config.mark}"` });
+        case 'classes': return json(say, 200, { mark: s.config.mark, classes: s.config.value?.classes ?? {} });
+        case 'nodes': return json(say, 200, { mark: seq, nodes: nodes() });
+        case 'workers': return json(say, 200, { mark: seq, workers: value.news?.workers ?? [] });
+        case 'duties': return json(say, 200, { mark: seq, duties: value.news?.duties ?? {} });
+        case 'loads': return json(say, 200, { mark: seq, loads: value.news?.loads ?? {} });
+        case 'marks': return json(say, 200, { mark: seq, view: value.view, order: seq, config: s.config.mark, keepers: s.keepers.mark, swept: s.keepers.swept });
+        case 'keepers': return json(say, 200, { ...s.keepers, group: s.keepers.mark, mark: seq });
+        case 'programs': {
+          const limit = Math.min(500, Math.max(1, Number(ask.query['limit'] ?? 100) || 100));
+          return json(say, 200, { mark: seq, programs: await programs(s, ask.query['after'] ?? '', limit) });
+        }
+        case 'status': {
+          const live = order.live(s);
+          return json(say, 200, {
+            mark: seq, view: value.view, towers: value.members.length, config: s.config.mark, keepers: { mark: s.keepers.mark, members: s.keepers.members.length, swept: s.keepers.swept === s.keepers.mark, draining: s.keepers.draining.length },
+            nodes: Object.fromEntries(['tower', 'keeper', 'pilot', 'front'].map((r) => [r, live.filter((x) => x.role === r).length])), dead: Object.values(s.roster).length - live.length,
+            workers: (value.news?.workers ?? []).length, leaving: (value.news?.workers ?? []).filter((w) => w.leaving).length,
+          });
+        }
+        default: return json(say, 404, { error: 'no_such_path', message: `nothing is served at ${ask.path}` });
+      }
+    };
+    return async (ask, say) => {
+      try {
+        if (ask.path === '/ready' && ask.method === 'GET') {
+          const r = n.ready();
+          return json(say, r.ok ? 200 : 503, { ready: r.ok, why: r.why }, r.ok ? {} : { 'retry-after': '1' });
+        }
+        if (ask.path === '/metrics' && ask.method === 'GET') { say.head(200, { 'content-type': 'text/plain; version=0.0.4' }); say.end(metrics(n)); return; }
+        if (!ask.path.startsWith(`${root}/`)) return json(say, 404, { error: 'no_such_path', message: `nothing is served at ${ask.path}` });
+        const [what = '', target = ''] = ask.path.slice(root.length + 1).split('/').map(decodeURIComponent);
+        if (what === 'config' && (ask.method === 'PUT' || ask.method === 'PATCH')) return await push(ask, say);
+        if (what === 'drain' && target && ['POST', 'DELETE', 'GET'].includes(ask.method)) return await drain(ask, say, target);
+        if (what === 'node' && ask.method === 'GET') return json(say, 200, { id: n.mooring.id, name: n.name, role: n.role, place: n.pipe.at, mark: n.mooring.mark(), inRoster: n.mooring.inRoster(), stale: n.mooring.stale(), counts: n.counts() });
+        if (ask.method !== 'GET') return json(say, 405, { error: 'bad_method' });
+        return await agreed(say, what, ask);
+      } catch (e) {
+        if (say.gone()) return;
+        json(say, 503, { error: 'not_agreed', message: fault.text(e), ran: ask.method === 'GET' ? 'no' : 'unknown' }, { 'retry-after': '1' });
+      }
+    };
+  },
+};
--- /dev/null
+++ b/packages/thornsail/src/bin.ts
@@ -0,0 +1,147 @@
+#!/usr/bin/env node
+// The command line (§7.4). Exit codes: 0 done, 1 failed, 2 wrong use or settings, 3 collision, 4 no agreed result.
+import { readFileSync } from 'node:fs';
+import { stripVTControlCharacters } from 'node:util';
+import { defineCommand, renderUsage, runCommand, type ArgsDef, type CommandDef } from 'citty';
+import { chart, type Role } from '@thornsail/chart';
+import { fault, invariant, real, type Lens } from '@thornsail/lens';
+import { operator } from './operator.js';
+import { roles, type Node } from './roles.js';
+
+const plain = (text: string): string => (process.stdout.isTTY ? text : stripVTControlCharacters(text));
+const out = (text: string): void => void process.stdout.write(`${plain(text)}\n`);
+const err = (text: string): void => void process.stderr.write(`thornsail: ${stripVTControlCharacters(text)}\n`);
+const release = (JSON.parse(readFileSync(new URL('../package.json', import.meta.url), 'utf8')) as Record<string, string>)['version'] ?? '0';
+
+const lists = new Set(['seeds', 'founders']);
+const numbers = new Set(['keepers']);
+const wrongUse = (text: string): never => { err(text); process.exit(2); };
+
+const flagsOnly = (args: Record<string, unknown>, known: string[]): void => {
+  for (const k of Object.keys(args)) if (k !== '_' && !known.includes(k)) wrongUse(`unknown flag --${k}`);
+};
+const describe: Record<string, string> = {
+  place: 'address for siblings, ip:port', http: 'address for HTTP, ip:port', zone: 'zone of this machine', seeds: 'three addresses of other processes, comma between',
+  name: 'name of this node', data: 'data folder', founders: 'the three places of the first towers (towers only)', keepers: 'size of the keeper group', platform: 'address of the platform', pilot: 'place of the pilot beside this front',
+};
+
+const roleCommand = (role: Role, text: string): CommandDef => {
+  const keys = chart.keys(role);
+  const args: ArgsDef = { 'settings': { type: 'string', description: 'settings file (JSON); flags go first' } };
+  for (const k of keys) args[k] = { type: 'string', description: describe[k] ?? k };
+  return defineCommand({
+    meta: { name: role, description: text }, args,
+    run: async ({ args: given }) => {
+      const a = given as Record<string, unknown> & { _: string[] };
+      flagsOnly(a, ['settings', ...keys]);
+      if (a._.length) wrongUse(`unexpected word ${a._[0]}`);
+      let file: unknown = {};
+      if (typeof a['settings'] === 'string') {
+        try { file = JSON.parse(readFileSync(a['settings'], 'utf8')); } catch (e) { wrongUse(`settings file ${a['settings']}: ${fault.text(e)}`); }
+        if (typeof file !== 'object' || file === null || Array.isArray(file)) wrongUse(`settings file ${a['settings']}: an object is needed`);
+      }
+      const merged: Record<string, unknown> = { ...(file as Record<string, unknown>) };
+      for (const k of keys) if (a[k] !== undefined) merged[k] = lists.has(k) ? String(a[k]).split(',').filter(Boolean) : numbers.has(k) ? Number(a[k]) : a[k];
+      const c = chart.options(role, merged);
+      if (!c.ok) { for (const p of c.problems) err(`${p.path}: ${p.text}`); process.exit(2); }
+      await run(role, c.value as { data?: string });
+    },
+  });
+};
+
+const run = async (role: Role, options: { data?: string }): Promise<void> => {
+  const lens = real.lens(options.data ?? '/nonexistent');
+  const node = await (roles[role] as (l: Lens, o: never) => Promise<Node>)(lens, options as never);
+  out(`${role} listens at http ${node.http}, siblings ${node.place}`);
+  let asked = 0;
+  const leave = (): void => {
+    asked += 1;
+    if (asked > 1) process.exit(1);
+    // Running turns are finished; nothing is cut off.
+    const work = role === 'front' || role === 'pilot' ? node.drain() : Promise.resolve();
+    work.catch(() => undefined).then(() => node.close()).then(() => process.exit(invariant.breaches().length ? 1 : 0), () => process.exit(1));
+  };
+  process.on('SIGTERM', leave);
+  process.on('SIGINT', leave);
+  process.on('unhandledRejection', (e) => { err(`a step failed unhandled: ${fault.text(e)}`); process.exit(1); });
+};
+
+const at: ArgsDef = { at: { type: 'string', description: 'HTTP address of any node, ip:port', default: process.env['THORNSAIL_AT'] ?? '' }, json: { type: 'boolean', description: 'print JSON' } };
+const operatorCommand = (name: string, text: string, extra: ArgsDef, fn: (a: Record<string, unknown> & { _: string[] }) => Promise<number>): CommandDef =>
+  defineCommand({
+    meta: { name, description: text }, args: { ...at, ...extra },
+    run: async ({ args: given }) => {
+      const a = given as Record<string, unknown> & { _: string[] };
+      const words = Object.entries(extra).filter(([, d]) => d.type === 'positional').length;
+      flagsOnly(a, ['at', 'json', ...Object.keys(extra), ...Object.keys(extra).map((k) => k.replace(/-([a-z])/g, (_m, c: string) => c.toUpperCase()))]);
+      if (a._.length > words) wrongUse(`unexpected word ${a._[words]}`);
+      if (!a['at']) wrongUse('--at is needed: the HTTP address of any node, ip:port (or THORNSAIL_AT)');
+      if (!/^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$/.test(String(a['at']))) wrongUse('--at: an address "ip:port" is needed');
+      process.exitCode = await fn(a);
+    },
+  });
+const op = operator.open({ lens: real.lens('/nonexistent'), out, err });
+const show = (what: string, text: string): CommandDef => operatorCommand(what, text, {}, (a) => op.show(String(a['at']), what, a['json'] === true));
+const pushArgs: ArgsDef = {
+  file: { type: 'string', description: 'JSON file, or - for standard input', required: true },
+  base: { type: 'string', description: 'the mark that the change is based on (default: the present one)' },
+  'push-id': { type: 'string', description: 'repeating a push with the same id has one effect' },
+};
+const pushed = (how: 'PUT' | 'PATCH') => (a: Record<string, unknown>): Promise<number> => {
+  let body = '';
+  try { body = readFileSync(a['file'] === '-' ? 0 : String(a['file']), 'utf8'); JSON.parse(body); } catch (e) { wrongUse(`--file: ${fault.text(e)}`); }
+  if (a['base'] !== undefined && !/^\d+$/.test(String(a['base']))) wrongUse('--base: a whole number is needed');
+  return op.push(String(a['at']), how, body, a['base'] as string | undefined, (a['push-id'] ?? a['pushId']) as string | undefined, a['json'] === true);
+};
+
+const main = defineCommand({
+  meta: { name: 'thornsail', 'version': release, description: 'A serving tier for agent programs.' },
+  subCommands: {
+    front: roleCommand('front', 'the reference front: takes callers\' requests'),
+    pilot: roleCommand('pilot', 'the daemon beside a front'),
+    tower: roleCommand('tower', 'a core node: orders configuration and membership'),
+    keeper: roleCommand('keeper', 'a store node: keeps registers'),
+    config: defineCommand({
+      meta: { name: 'config', description: 'read and change the configuration' },
+      subCommands: {
+        get: operatorCommand('get', 'the agreed configuration', {}, (a) => op.show(String(a['at']), 'config', a['json'] === true)),
+        put: operatorCommand('put', 'replace the whole configuration', pushArgs, pushed('PUT')),
+        patch: operatorCommand('patch', 'change a part (JSON Merge Patch)', pushArgs, pushed('PATCH')),
+      },
+    }),
+    status: show('status', 'the fleet in short'),
+    nodes: show('nodes', 'the roster'),
+    workers: show('workers', 'the workers'),
+    classes: show('classes', 'classes of service'),
+    programs: show('programs', 'programs and their budgets'),
+    marks: show('marks', 'the marks of views, configuration and groups'),
+    duties: show('duties', 'who holds which duty'),
+    drain: operatorCommand('drain', 'have a node leave; a keeper\'s records are moved first', {
+      node: { type: 'positional', description: 'name, id or place of the node', required: true },
+      cancel: { type: 'boolean', description: 'take a keeper\'s drain back' }, wait: { type: 'boolean', description: 'wait until it is safe to remove' },
+    }, (a) => op.drain(String(a['at']), String(a['node']), a['cancel'] === true, a['wait'] === true, a['json'] === true)),
+  },
+});
+
+const resolve = async (argv: string[]): Promise<CommandDef> => {
+  let cmd: CommandDef = main as CommandDef;
+  for (const w of argv) {
+    const subs = cmd.subCommands as Record<string, CommandDef> | undefined;
+    if (!subs || w.startsWith('-') || !Object.hasOwn(subs, w)) break;
+    cmd = subs[w]!;
+  }
+  return cmd;
+};
+const start = async (): Promise<void> => {
+  const argv = process.argv.slice(2);
+  if (argv.includes('--help') || argv.includes('-h')) { out(await renderUsage(await resolve(argv))); return; }
+  if (argv[0] === '--version' || argv[0] === '-v') { out(release); return; }
+  if (argv.length === 0) { out(await renderUsage(main)); process.exitCode = 2; return; }
+  try { await runCommand(main, { rawArgs: argv }); } catch (e) {
+    const code = (e as { code?: string }).code ?? '';
+    err(fault.text(e));
+    process.exitCode = /^E_|UNKNOWN|MISSING|ARG/i.test(code) && code !== 'EADDRINUSE' ? 2 : 1;
+    if (process.exitCode === 1) process.exit(1);
+  }
+};
+await start();
--- /dev/null
+++ b/packages/thornsail/src/index.ts
@@ -0,0 +1,1 @@
+export { roles, type Node } from './roles.js';
--- /dev/null
+++ b/packages/thornsail/src/operator.ts
@@ -0,0 +1,81 @@
+// Operator commands (§7.3): thin callers of any node's HTTP.
+import { fault, time, us, type HttpCall, type Lens } from '@thornsail/lens';
+import { root } from '@thornsail/signal';
+
+type Reply = { status: number; body: Record<string, unknown> };
+export type Operator = {
+  show: (at: string, what: string, json: boolean) => Promise<number>;
+  push: (at: string, how: 'PUT' | 'PATCH', body: string, base: string | undefined, id: string | undefined, json: boolean) => Promise<number>;
+  drain: (at: string, node: string, cancel: boolean, wait: boolean, json: boolean) => Promise<number>;
+};
+
+export const table = (rows: Record<string, unknown>[]): string => {
+  if (rows.length === 0) return '(none)';
+  const cols = [...new Set(rows.flatMap((r) => Object.keys(r)))];
+  const cell = (v: unknown): string => (v === null || v === undefined ? '-' : typeof v === 'object' ? JSON.stringify(v) : String(v));
+  const width = cols.map((c) => Math.max(c.length, ...rows.map((r) => cell(r[c]).length)));
+  const line = (f: (c: string) => string): string => cols.map((c, i) => f(c).padEnd(width[i]!)).join('  ').trimEnd();
+  return [line((c) => c), ...rows.map((r) => line((c) => cell(r[c])))].join('\n');
+};
+export const codeOf = (status: number): number => (status >= 200 && status < 300 ? 0 : status === 409 ? 3 : status === 503 ? 4 : status === 400 || status === 422 || status === 428 ? 2 : 1);
+
+export const operator = {
+  open: (o: { lens: Lens; out: (t: string) => void; err: (t: string) => void }): Operator => {
+    const { lens, out, err } = o;
+    const call = async (c: Omit<HttpCall, 'timeLeft'>): Promise<Reply> => {
+      const r = await lens.net.call({ ...c, timeLeft: us.s(8) });
+      let text = '';
+      for await (const p of r.body) text += p;
+      try { return { status: r.status, body: JSON.parse(text) as Record<string, unknown> }; } catch { return { status: r.status, body: { error: 'unreadable', message: text.slice(0, 200) } }; }
+    };
+    const safely = async (fn: () => Promise<number>): Promise<number> => {
+      try { return await fn(); } catch (e) { err(fault.text(e)); return 1; }
+    };
+    const failed = (r: Reply, json: boolean): number => {
+      if (json) out(JSON.stringify(r.body));
+      err(`${String(r.body['error'] ?? r.status)}${r.body['message'] ? `: ${String(r.body['message'])}` : ''}`);
+      for (const p of (r.body['problems'] as { path: string; text: string }[] | undefined) ?? []) err(`${p.path}: ${p.text}`);
+      return codeOf(r.status);
+    };
+    const rows = (what: string, b: Record<string, unknown>): string => {
+      const v = b[what];
+      if (what === 'config') return JSON.stringify(b['config'], null, 2);
+      if (Array.isArray(v)) return table((v as Record<string, unknown>[]).map(({ since, ...r }) => { void since; return r; }));
+      if (typeof v === 'object' && v !== null) return table(Object.entries(v).map(([name, x]) => ({ name, ...(x as object) })));
+      return Object.entries(b).filter(([k]) => k !== 'mark').map(([k, x]) => `${k}: ${typeof x === 'object' ? Object.entries(x as object).map(([a, y]) => `${a} ${String(y)}`).join(', ') : String(x)}`).join('\n');
+    };
+    return {
+      show: (at, what, json) => safely(async () => {
+        const r = await call({ at, method: 'GET', path: `${root}/${what}` });
+        if (r.status !== 200) return failed(r, json);
+        out(json ? JSON.stringify(r.body) : `${rows(what, r.body)}\n(read at mark ${String(r.body['mark'])})`);
+        return 0;
+      }),
+      push: (at, how, body, base, id, json) => safely(async () => {
+        let mark = base;
+        if (mark === undefined) {
+          const now = await call({ at, method: 'GET', path: `${root}/config` });
+          if (now.status !== 200) return failed(now, json);
+          mark = String(now.body['mark']);
+        }
+        const push = id ?? lens.rand.id();
+        const r = await call({ at, method: how, path: `${root}/config`, body, headers: { 'content-type': how === 'PUT' ? 'application/json' : 'application/merge-patch+json', 'if-match': mark, 'push-id': push } });
+        if (r.status !== 200) { if (r.status === 503) err(`the outcome is not known: repeat with --base ${mark} --push-id ${push}`); return failed(r, json); }
+        out(json ? JSON.stringify(r.body) : `configuration is at mark ${String(r.body['mark'])}`);
+        return 0;
+      }),
+      drain: (at, node, cancel, wait, json) => safely(async () => {
+        let method = cancel ? 'DELETE' : 'POST';
+        for (;;) {
+          const r = await call({ at, method, path: `${root}/drain/${encodeURIComponent(node)}` });
+          if (r.status !== 200) return failed(r, json);
+          const done = r.body['safe'] === true || !wait || cancel;
+          out(json ? JSON.stringify(r.body) : `${String(r.body['node'])}: ${String(r.body['state'])}${r.body['mark'] !== undefined ? ` (group mark ${String(r.body['mark'])}, swept ${String(r.body['swept'])})` : ''}`);
+          if (done) return 0;
+          method = 'GET';
+          await time.sleep(lens.clock, us.s(1));
+        }
+      }),
+    };
+  },
+};
--- /dev/null
+++ b/packages/tower/src/core.ts
@@ -0,0 +1,130 @@
+// The core (§3.3): serves the operations that change what the towers order, and the duties of its head:
+// forming the keeper group, ruling on suspicions, replacing lost members one at a time.
+import { fault, time, us, type Lens, type Place, type Us } from '@thornsail/lens';
+import type { Logbook } from '@thornsail/logbook';
+import type { Pipe } from '@thornsail/pipe';
+import { order, type NodeEntry, type Ordered, type Push, type PushResult } from './order.js';
+import { views, type Marked, type Views } from './views.js';
+
+export type Suspicion = { by: string; id: string; inc: number };
+export type CoreAsk =
+  | { op: 'push'; push: Push }
+  | { op: 'read' }
+  | { op: 'join'; node: Omit<NodeEntry, 'standing' | 'since'> & { leaving?: boolean } }
+  | { op: 'suspect'; list: Suspicion[] }
+  | { op: 'swept'; mark: number }
+  | { op: 'drain'; id: string; on: boolean };
+export type CoreResult = { ok: true; seq: number; value: unknown } | { ok: false; why: 'moved' | 'unknown'; head: Place | null; towers: Place[] };
+
+export type Core = { views: Views<Ordered>; close: () => void };
+export type CoreTimes = { suspectFor: Us; replaceAfter: Us; keepers: number };
+
+export const core = {
+  open: async (o: { lens: Lens; pipe: Pipe; book: Logbook; founders: Place[]; onDone: (v: Marked<Ordered>) => void; news?: () => unknown; times?: Partial<CoreTimes> }): Promise<Core> => {
+    const { lens, pipe } = o;
+    const T: CoreTimes = { suspectFor: us.ms(1500), replaceAfter: us.s(3), keepers: 3, ...o.times };
+    const log = lens.log('tower');
+    const v = await views.open<Ordered>({ lens, pipe, book: o.book, founders: o.founders, initial: order.initial(), onDone: o.onDone });
+    const suspicions = new Map<string, Map<string, { inc: number; at: Us }>>();
+
+    const run = async (ask: CoreAsk): Promise<{ seq: number; result: unknown }> => {
+      switch (ask.op) {
+        case 'push': return v.propose<PushResult>((s) => order.push(s, ask.push));
+        case 'join': return v.propose((s) => order.join(s, ask.node, lens.clock.wall()));
+        case 'swept': return v.propose((s) => order.swept(s, ask.mark));
+        case 'drain': return v.propose((s) => order.drain(s, ask.id, ask.on));
+        case 'read': { const d = await v.agreed(); return { seq: d.seq, result: { state: d.state, view: d.view, members: d.members, news: o.news?.() ?? null } }; }
+        case 'suspect': {
+          if (v.standing() !== 'lead') throw fault.make({ step: 'suspect', code: 'moved' }, 'not the head');
+          for (const x of ask.list) {
+            const by = suspicions.get(x.id) ?? new Map<string, { inc: number; at: Us }>();
+            by.set(x.by, { inc: x.inc, at: lens.clock.now() });
+            suspicions.set(x.id, by);
+          }
+          return { seq: v.done()?.seq ?? 0, result: true };
+        }
+      }
+    };
+    pipe.on<CoreAsk>('core', async (ask): Promise<CoreResult> => {
+      try {
+        const r = await run(ask);
+        return { ok: true, seq: r.seq, value: r.result };
+      } catch (e) {
+        const code = fault.info(e).code;
+        if (code !== 'moved' && code !== 'unknown') throw e;
+        return { ok: false, why: code, head: v.standing() === 'lead' ? null : v.head() ?? null, towers: v.done()?.members.map((m) => m.at) ?? o.founders };
+      }
+    });
+
+    /** Dead only when two watchers that are themselves in the roster agree about the same incarnation (§3.2). */
+    const rule = async (): Promise<void> => {
+      const d = v.done();
+      if (v.standing() !== 'lead' || !d) return;
+      const now = lens.clock.now();
+      for (const [id, by] of suspicions) {
+        for (const [w, x] of by) if (now - x.at > T.suspectFor) by.delete(w);
+        if (by.size === 0) { suspicions.delete(id); continue; }
+        const n = d.state.roster[id];
+        if (!n || n.standing === 'dead') { suspicions.delete(id); continue; }
+        const agree = [...by].filter(([w, x]) => x.inc === n.inc && d.state.roster[w] !== undefined && d.state.roster[w].standing !== 'dead');
+        if (agree.length < Math.min(2, order.live(d.state).length - 1)) continue;
+        suspicions.delete(id);
+        log(`${n.name} is dead: ${agree.length} watchers agree.`);
+        await v.propose((s) => order.dead(s, id, n.inc, lens.clock.wall()));
+      }
+    };
+    const aliveIn = (s: Ordered, id: string): boolean => s.roster[id] !== undefined && s.roster[id].standing !== 'dead';
+    const goneFor = (s: Ordered, id: string): Us => (aliveIn(s, id) ? 0 : lens.clock.wall() - (s.roster[id]?.since ?? 0));
+
+    /** Keeper group: formed once, then changed by one member at a time, each change swept before the next. */
+    const keepers = async (): Promise<void> => {
+      const d = v.done();
+      if (v.standing() !== 'lead' || !d) return;
+      const s = d.state;
+      const k = s.keepers;
+      const live = order.live(s, 'keeper').filter((n) => n.standing === 'live');
+      const member = (n: NodeEntry): { id: string; at: Place } => ({ id: n.id, at: n.place });
+      if (k.mark === 0) {
+        if (live.length >= T.keepers) await v.propose((x) => order.firstGroup(x, live.slice(0, T.keepers).map(member)));
+        return;
+      }
+      if (k.swept !== k.mark) return;
+      const spare = live.find((n) => !k.members.some((m) => m.id === n.id) && !k.draining.includes(n.id));
+      const lost = k.members.find((m) => goneFor(s, m.id) > T.replaceAfter);
+      const leaving = k.members.find((m) => k.draining.includes(m.id) && aliveIn(s, m.id));
+      const out = lost ?? leaving;
+      const want = T.keepers + (out ? 1 : 0);
+      if (spare && k.members.length < want) {
+        log(`keeper ${spare.name} joins the group.`);
+        await v.propose((x) => order.regroup(x, { add: member(spare), why: 'join' }));
+      } else if (out && (k.members.length > T.keepers || (leaving === out && k.members.length === 3))) {
+        log(`keeper ${out.id} leaves the group.`);
+        await v.propose((x) => order.regroup(x, { remove: out.id, why: lost ? 'replace' : 'drain' }));
+      }
+    };
+    /** Tower group: an empty newcomer is added (its state comes with the order), then the lost one is taken out. */
+    const towers = async (): Promise<void> => {
+      const d = v.done();
+      if (v.standing() !== 'lead' || !d) return;
+      const s = d.state;
+      const size = 3;
+      const lost = d.members.find((m) => goneFor(s, m.id) > T.replaceAfter);
+      const spare = order.live(s, 'tower').find((n) => n.standing === 'live' && !d.members.some((m) => m.id === n.id));
+      if (spare && d.members.length < size + (lost ? 1 : 0)) {
+        log(`tower ${spare.name} joins the view.`);
+        await v.propose((x, members) => ({ state: x, members: members.some((m) => m.id === spare.id) ? undefined : [...members, { id: spare.id, at: spare.place }], result: true }));
+      } else if (lost && d.members.length > size) {
+        log(`tower ${lost.id} leaves the view.`);
+        await v.propose((x, members) => ({ state: x, members: members.filter((m) => m.id !== lost.id), result: true }));
+      }
+    };
+    const safely = (fn: () => Promise<void>) => async (): Promise<void> => {
+      try { await fn(); } catch (e) { if (!['moved', 'unknown'].includes(fault.info(e).code ?? '')) log(`a duty failed: ${fault.text(e)}.`); }
+    };
+    const stops = [
+      time.every(lens.clock, us.ms(200), safely(rule)),
+      time.every(lens.clock, us.ms(500), safely(async () => { await keepers(); await towers(); })),
+    ];
+    return { views: v, close: () => { for (const s of stops) s(); v.close(); } };
+  },
+};
--- /dev/null
+++ b/packages/tower/src/order.ts
@@ -0,0 +1,92 @@
+// What the towers order (§3.3): the configuration, the roster of nodes and the keeper group; pure changes on it.
+import { chart, type Config, type Problem } from '@thornsail/chart';
+import { invariant, type Place, type Us } from '@thornsail/lens';
+import type { Member } from './views.js';
+
+export type NodeRole = 'tower' | 'keeper' | 'pilot' | 'front';
+export type NodeEntry = { id: string; name: string; role: NodeRole; place: Place; http: Place; zone: string; inc: number; standing: 'live' | 'leaving' | 'dead'; since: Us };
+export type GroupChange = { add?: Member; remove?: string; why: 'replace' | 'drain' | 'join' };
+export type KeeperGroup = { mark: number; members: Member[]; swept: number; draining: string[] };
+export type Ordered = {
+  config: { mark: number; raw: unknown; value: Config | null };
+  pushes: { id: string; mark: number }[];
+  roster: Record<string, NodeEntry>;
+  keepers: KeeperGroup;
+  towers: Member[];
+};
+export type Push = { id: string; base: number; how: 'whole' | 'merge' | 'patch'; body: unknown };
+export type PushResult =
+  | { ok: true; mark: number; repeated?: boolean }
+  | { ok: false; why: 'collision'; mark: number }
+  | { ok: false; why: 'invalid'; mark: number; problems: Problem[] };
+
+const pushesKept = 512;
+const deadKept = 64;
+
+export const order = {
+  initial: (): Ordered => ({ config: { mark: 0, raw: null, value: null }, pushes: [], roster: {}, keepers: { mark: 0, members: [], swept: 0, draining: [] }, towers: [] }),
+
+  /** A push is judged against its base mark and has one effect however often it is repeated (§7.2). */
+  push: (s: Ordered, p: Push): { state: Ordered; result: PushResult } => {
+    const before = s.pushes.find((x) => x.id === p.id);
+    if (before) return { state: s, result: { ok: true, mark: before.mark, repeated: true } };
+    if (p.base !== s.config.mark) return { state: s, result: { ok: false, why: 'collision', mark: s.config.mark } };
+    const raw = p.how === 'whole' ? p.body : chart.merge(s.config.raw ?? {}, p.body);
+    const c = chart.check(raw);
+    if (!c.ok) return { state: s, result: { ok: false, why: 'invalid', mark: s.config.mark, problems: c.problems } };
+    const mark = s.config.mark + 1;
+    return { state: { ...s, config: { mark, raw, value: c.value }, pushes: [...s.pushes, { id: p.id, mark }].slice(-pushesKept) }, result: { ok: true, mark } };
+  },
+
+  /** A node joins, or refutes its death, with an incarnation above any known one (§3.2). */
+  join: (s: Ordered, n: Omit<NodeEntry, 'standing' | 'since'> & { leaving?: boolean }, at: Us): { state: Ordered; result: { ok: boolean; inc: number } } => {
+    const cur = s.roster[n.id];
+    if (cur && (n.inc < cur.inc || (n.inc === cur.inc && cur.standing === 'dead'))) return { state: s, result: { ok: false, inc: cur.inc } };
+    const standing = n.leaving ? 'leaving' as const : 'live' as const;
+    if (cur && cur.inc === n.inc && cur.standing === standing && cur.place === n.place && cur.http === n.http) return { state: s, result: { ok: true, inc: n.inc } };
+    const roster = { ...s.roster };
+    // A new identity at an address replaces the old one there: an emptied machine is not the one it was.
+    for (const o of Object.values(roster)) if (o.id !== n.id && o.place === n.place && o.standing !== 'dead') roster[o.id] = { ...o, standing: 'dead', since: at };
+    roster[n.id] = { id: n.id, name: n.name, role: n.role, place: n.place, http: n.http, zone: n.zone, inc: n.inc, standing, since: cur?.standing === standing ? cur.since : at };
+    return { state: { ...s, roster: prune(roster) }, result: { ok: true, inc: n.inc } };
+  },
+
+  dead: (s: Ordered, id: string, inc: number, at: Us): { state: Ordered; result: boolean } => {
+    const cur = s.roster[id];
+    if (!cur || cur.inc !== inc || cur.standing === 'dead') return { state: s, result: false };
+    return { state: { ...s, roster: prune({ ...s.roster, [id]: { ...cur, standing: 'dead', since: at } }) }, result: true };
+  },
+
+  /** One member in or out; the next change waits until the sweep under this mark is complete (§6.5). */
+  regroup: (s: Ordered, c: GroupChange): { state: Ordered; result: boolean } => {
+    const k = s.keepers;
+    if (k.mark !== 0 && k.swept !== k.mark) return { state: s, result: false };
+    let members = k.members;
+    if (c.add && !members.some((m) => m.id === c.add!.id)) members = [...members, c.add];
+    else if (c.remove && members.some((m) => m.id === c.remove)) members = members.filter((m) => m.id !== c.remove);
+    else return { state: s, result: false };
+    invariant.hold(Math.abs(members.length - k.members.length) === 1, 'a keeper group changes by one');
+    invariant.hold(members.length >= 2 || k.members.length < 2, 'a keeper group never falls to one');
+    return { state: { ...s, keepers: { ...k, mark: k.mark + 1, members } }, result: true };
+  },
+  firstGroup: (s: Ordered, members: Member[]): { state: Ordered; result: boolean } => {
+    if (s.keepers.mark !== 0) return { state: s, result: false };
+    return { state: { ...s, keepers: { mark: 1, members, swept: 1, draining: [] } }, result: true };
+  },
+  swept: (s: Ordered, mark: number): { state: Ordered; result: boolean } =>
+    (s.keepers.mark === mark && s.keepers.swept < mark ? { state: { ...s, keepers: { ...s.keepers, swept: mark } }, result: true } : { state: s, result: false }),
+  drain: (s: Ordered, id: string, on: boolean): { state: Ordered; result: boolean } => {
+    const has = s.keepers.draining.includes(id);
+    if (has === on) return { state: s, result: false };
+    return { state: { ...s, keepers: { ...s.keepers, draining: on ? [...s.keepers.draining, id] : s.keepers.draining.filter((x) => x !== id) } }, result: true };
+  },
+
+  live: (s: Ordered, role?: NodeRole): NodeEntry[] => Object.values(s.roster).filter((n) => n.standing !== 'dead' && (!role || n.role === role)).sort((a, b) => (a.id < b.id ? -1 : 1)),
+};
+
+const prune = (roster: Record<string, NodeEntry>): Record<string, NodeEntry> => {
+  const gone = Object.values(roster).filter((n) => n.standing === 'dead').sort((a, b) => a.since - b.since);
+  const out = { ...roster };
+  for (const n of gone.slice(0, Math.max(0, gone.length - deadKept))) delete out[n.id];
+  return out;
+};
--- /dev/null
+++ b/packages/watch/src/index.ts
@@ -0,0 +1,73 @@
+// watch: a duty is won by a round of ballots each time that it falls vacant (§3.6).
+// A majority of voters grants it for a while under a mark; the holder stops by its own clock before the
+// grant can run out, and whoever it orders refuses an older mark.
+import { time, us, type Lens, type Place, type Us } from '@thornsail/lens';
+import type { Pipe } from '@thornsail/pipe';
+
+type Grant = { by: string; mark: number; until: Us };
+type BallotResult = { ok: boolean; mark: number; by: string | null; left: Us };
+export type Duty = { holds: () => boolean; mark: () => number; vacancies: () => Us[]; close: () => void };
+
+export const watch = {
+  voter: (o: { lens: Lens; pipe: Pipe; term?: Us }): { grants: () => Record<string, Grant> } => {
+    const { lens, pipe } = o;
+    const term = o.term ?? us.s(3);
+    const grants = new Map<string, Grant>();
+    // A voter that has just started may have forgotten a grant: it abstains for one term.
+    const abstain = lens.clock.now() + term;
+    pipe.on<{ duty: string; by: string; mark: number }>('watch.ballot', ({ duty, by, mark }): BallotResult => {
+      const now = lens.clock.now();
+      const g = grants.get(duty);
+      const held = g !== undefined && g.until > now;
+      if (now < abstain) return { ok: false, mark: g?.mark ?? 0, by: null, left: abstain - now };
+      if (held && g.by !== by) return { ok: false, mark: g.mark, by: g.by, left: g.until - now };
+      if (g && (held ? mark < g.mark : mark <= g.mark)) return { ok: false, mark: g.mark, by: held ? g.by : null, left: 0 };
+      grants.set(duty, { by, mark, until: now + term });
+      return { ok: true, mark, by, left: term };
+    });
+    pipe.on<{ duty: string; by: string }>('watch.leave', ({ duty, by }) => {
+      const g = grants.get(duty);
+      if (g?.by === by) g.until = lens.clock.now();
+    });
+    return { grants: () => Object.fromEntries(grants) };
+  },
+  duty: (o: { lens: Lens; pipe: Pipe; name: string; by: string; voters: () => Place[]; term?: Us; onWon?: (mark: number) => void }): Duty => {
+    const { lens, pipe } = o;
+    const { clock, rand } = lens;
+    const log = lens.log('watch');
+    const term = o.term ?? us.s(3);
+    let until = 0;
+    let mark = 0;
+    let seen = 0;
+    let vacantSince = clock.now();
+    let waitUntil = 0;
+    const gaps: Us[] = [];
+    const round = async (): Promise<void> => {
+      const begun = clock.now();
+      const held = until > begun;
+      if (!held && begun < waitUntil) return;
+      const ask = held ? mark : Math.max(seen + 1, Math.floor(clock.wall() / 1000));
+      const voters = o.voters();
+      if (voters.length === 0) return;
+      const got = await Promise.all(voters.map((p) => pipe.ask<BallotResult>(p, 'watch.ballot', { duty: o.name, by: o.by, mark: ask }, us.ms(400)).catch(() => undefined)));
+      for (const r of got) if (r) seen = Math.max(seen, r.mark);
+      const yes = got.filter((r) => r?.ok).length;
+      if (yes > voters.length / 2) {
+        if (!held) { gaps.push(clock.now() - vacantSince); log(`won the duty ${o.name} with mark ${ask}.`); }
+        mark = ask;
+        until = begun + term - term / 5;
+        if (!held) o.onWon?.(mark);
+        return;
+      }
+      if (yes > 0 && !held) for (const [i, r] of got.entries()) if (r?.ok) pipe.tell(voters[i]!, 'watch.leave', { duty: o.name, by: o.by });
+      const other = got.find((r) => r && r.by !== null && r.by !== o.by);
+      if (other) vacantSince = clock.now() + other.left;
+      waitUntil = clock.now() + Math.min(term, other?.left ?? 0) + rand.int(us.ms(300));
+    };
+    const stop = time.every(clock, us.ms(300), round);
+    return {
+      holds: () => until > clock.now(), mark: () => mark, vacancies: () => gaps,
+      close: () => { stop(); if (until > clock.now()) for (const p of o.voters()) pipe.tell(p, 'watch.leave', { duty: o.name, by: o.by }); },
+    };
+  },
+};
