--- /dev/null
+++ b/packages/fog/src/index.ts
@@ -0,0 +1,2 @@
+export { world, type World, type Host } from './world.js';
+export { fleet, type Fleet, type Proc } from './fleet.js';
--- /dev/null
+++ b/packages/fog/src/world.ts
@@ -0,0 +1,311 @@
+// fog: one process, injected clock, network, disk and random source; the real role code runs on top (§9.2).
+// The same seed gives the same events in the same order, folded into a trace hash.
+import { fault, place, seeded, us, type Disk, type Frames, type HttpCall, type HttpHandler, type HttpResult, type HttpSay, type Lens, type Net, type Place, type Rand, type Us } from '@thornsail/lens';
+
+type Ev = { at: Us; n: number; host: Host | null; inc: number; fn: () => void };
+export type Host = {
+  ip: string; zone: string; alive: boolean; inc: number; frozen: boolean; late: Ev[];
+  files: Map<string, string>; pending: Map<number, { name: string; text: string | null }>; skew: Us;
+  frames: Map<Place, (from: Place, text: string) => void>; http: Map<Place, HttpHandler>;
+  open: Set<() => void>;
+};
+export type World = {
+  rand: Rand; now: () => Us; hash: () => string; events: () => number; syncs: () => number; frames: () => number; httpCalls: () => number;
+  host: (ip: string, zone: string) => Host;
+  lens: (h: Host) => Lens;
+  run: (until: Us) => Promise<void>;
+  at: (at: Us, fn: () => void) => void;
+  kill: (h: Host, how: 'process' | 'power' | 'disk') => void;
+  start: (h: Host) => void;
+  freeze: (h: Host) => void;
+  wake: (h: Host) => void;
+  /** Cuts all traffic between two sets of hosts; returns how to heal it. */
+  cut: (a: Host[], b: Host[]) => () => void;
+  slow: (by: Us) => void;
+  logs: (fn: (at: Us, ip: string, part: string, text: string) => void) => void;
+};
+const base = 1_790_000_000_000_000;
+
+export const world = {
+  open: (o: { seed: number; zoneDelay: Us; clientDelay: Us; clientIp: string }): World => {
+    const rand = seeded(o.seed);
+    const heap: Ev[] = [];
+    let n = 0;
+    let now: Us = 0;
+    let trace = 0x811c9dc5;
+    let events = 0;
+    const c = { syncs: 0, frames: 0, http: 0 };
+    let extra = 0;
+    let logger: (at: Us, ip: string, part: string, text: string) => void = () => undefined;
+    const hosts = new Map<string, Host>();
+    const cuts = new Set<{ a: Set<Host>; b: Set<Host> }>();
+    const fold = (s: string): void => { for (let i = 0; i < s.length; i++) trace = Math.imul(trace ^ s.charCodeAt(i), 0x01000193) >>> 0; };
+
+    const less = (a: Ev, b: Ev): boolean => a.at < b.at || (a.at === b.at && a.n < b.n);
+    const push = (e: Ev): void => {
+      heap.push(e);
+      let i = heap.length - 1;
+      while (i > 0) {
+        const p = (i - 1) >> 1;
+        if (!less(heap[i]!, heap[p]!)) break;
+        [heap[i], heap[p]] = [heap[p]!, heap[i]!];
+        i = p;
+      }
+    };
+    const pop = (): Ev => {
+      const top = heap[0]!;
+      const last = heap.pop()!;
+      if (heap.length) {
+        heap[0] = last;
+        let i = 0;
+        for (;;) {
+          let m = i;
+          for (const k of [2 * i + 1, 2 * i + 2]) if (k < heap.length && less(heap[k]!, heap[m]!)) m = k;
+          if (m === i) break;
+          [heap[i], heap[m]] = [heap[m]!, heap[i]!];
+          i = m;
+        }
+      }
+      return top;
+    };
+    const later = (after: Us, host: Host | null, fn: () => void): Ev => {
+      const e = { at: now + Math.max(0, Math.round(after)), n: n++, host, inc: host?.inc ?? 0, fn };
+      push(e);
+      return e;
+    };
+    const drain = (): Promise<void> => new Promise((fin) => { setImmediate(fin); });
+
+    const severed = (a: Host, b: Host): boolean => { for (const x of cuts) if ((x.a.has(a) && x.b.has(b)) || (x.a.has(b) && x.b.has(a))) return true; return false; };
+    const delay = (a: Host, b: Host): Us => {
+      if (a === b) return 20;
+      const d = a.ip === o.clientIp || b.ip === o.clientIp ? o.clientDelay : a.zone === b.zone ? 120 : o.zoneDelay;
+      return d + rand.int(Math.max(1, Math.round(d * 0.3))) + extra;
+    };
+    const order = new Map<string, Us>();
+    /** Delivery in order between two hosts, as over one TCP pipe. */
+    const deliver = (a: Host, b: Host, fn: () => void): void => {
+      const key = `${a.ip}>${b.ip}`;
+      const at = Math.max(now + delay(a, b), (order.get(key) ?? 0) + 1);
+      order.set(key, at);
+      later(at - now, b, fn);
+    };
+    const hostOf = (p: Place): Host | undefined => hosts.get(place.host(p));
+
+    const netOf = (h: Host): Net => ({
+      frames: async (at, onFrame): Promise<Frames> => {
+        if (h.frames.has(at)) throw fault.make({ step: 'frames.bind', sibling: at }, 'address in use');
+        h.frames.set(at, onFrame);
+        const inc = h.inc;
+        return {
+          at,
+          send: (to, text) => {
+            const t = hostOf(to);
+            if (!t || h.inc !== inc || !h.alive) return;
+            c.frames += 1;
+            if (severed(h, t)) return;
+            deliver(h, t, () => {
+              if (severed(h, t)) return;
+              fold(text.length > 64 ? text.slice(0, 64) : text);
+              t.frames.get(to)?.(at, text);
+            });
+          },
+          close: async () => { if (h.inc === inc) h.frames.delete(at); },
+        };
+      },
+      serve: async (at, handler) => {
+        if (h.http.has(at)) throw fault.make({ step: 'http.bind', sibling: at }, 'address in use');
+        h.http.set(at, handler);
+        const inc = h.inc;
+        return { at, close: async () => { if (h.inc === inc) h.http.delete(at); } };
+      },
+      call: (req: HttpCall) => new Promise<HttpResult>((done, fail) => {
+        c.http += 1;
+        const t = hostOf(req.at);
+        let phase: 'connect' | 'sent' | 'head' | 'end' = 'connect';
+        const err = (sent: boolean, code: string): Error => fault.make({ step: 'http.call', sibling: req.at, sent, code }, code);
+        const rejectCall = (): void => { if (phase === 'connect') { phase = 'end'; fail(err(false, 'ECONNREFUSED')); } };
+        if (!t) { later(us.ms(1), h, rejectCall); return; }
+        later(us.ms(800), h, () => { if (phase === 'connect') { phase = 'end'; fail(err(false, 'UND_ERR_CONNECT_TIMEOUT')); } });
+        later(req.timeLeft, h, () => { if (phase === 'connect' || phase === 'sent') { const was = phase; phase = 'end'; goneNow(); fail(err(was === 'sent', 'late')); } });
+        // The body: pieces in order, then an end or a break.
+        const pieces: string[] = [];
+        let over: 'end' | 'cut' | null = null;
+        let wakeUp: (() => void) | null = null;
+        const nudge = (): void => { const w = wakeUp; wakeUp = null; w?.(); };
+        let goneFns: (() => void)[] = [];
+        let isGone = false;
+        let buffered = 0;
+        let drainFns: (() => void)[] = [];
+        const goneNow = (): void => {
+          h.open.delete(mine);
+          if (isGone) return;
+          if (!severed(h, t)) later(delay(h, t), t, () => { isGone = true; const f = goneFns; goneFns = []; for (const g of f) g(); const d = drainFns; drainFns = []; for (const x of d) x(); });
+        };
+        const broke = (): void => {
+          if (phase === 'end') return;
+          if (phase === 'sent') { phase = 'end'; fail(err(true, 'ECONNRESET')); return; }
+          if (phase === 'connect') { rejectCall(); return; }
+          if (over === null) { over = 'cut'; nudge(); }
+        };
+        /** The other side's process ended: the pipe breaks. */
+        const theirs = (): void => { if (!severed(h, t)) later(delay(h, t), h, broke); };
+        /** This side's process ended. */
+        const mine = (): void => { phase = 'end'; if (!severed(h, t)) later(delay(h, t), t, () => { isGone = true; const f = goneFns; goneFns = []; for (const g of f) g(); }); };
+        h.open.add(mine);
+        const say: HttpSay = {
+          head: (status, headers) => toCaller(() => {
+            if (phase !== 'sent') return;
+            phase = 'head';
+            done({ status, headers: Object.fromEntries(Object.entries(headers).map(([k, v]) => [k.toLowerCase(), v])), body: body(), cut: () => { if (phase !== 'end') { phase = 'end'; over ??= 'cut'; goneNow(); nudge(); } } });
+          }),
+          write: (text) => {
+            buffered += text.length;
+            toCaller(() => { pieces.push(text); nudge(); });
+            return buffered < 65_536;
+          },
+          drained: () => new Promise((fin) => { if (buffered < 65_536 || isGone) fin(); else drainFns.push(fin); }),
+          end: (text) => { if (text !== undefined) toCaller(() => { pieces.push(text); }); toCaller(() => { if (over === null) { over = 'end'; nudge(); } }); t.open.delete(theirs); },
+          cut: () => { t.open.delete(theirs); isGone = true; toCaller(broke); },
+          gone: () => isGone,
+          onGone: (fn) => { if (isGone) fn(); else goneFns.push(fn); },
+        };
+        const toCaller = (fn: () => void): void => {
+          if (severed(h, t)) return;
+          deliver(t, h, () => { if (!severed(h, t)) fn(); });
+        };
+        const silence = req.silence ?? us.s(30);
+        const body = async function* (): AsyncIterable<string> {
+          try {
+            for (;;) {
+              if (pieces.length) {
+                const p = pieces.shift()!;
+                buffered -= p.length;
+                if (buffered < 32_768 && drainFns.length) { const d = drainFns; drainFns = []; later(delay(h, t), t, () => { for (const x of d) x(); }); }
+                yield p;
+                continue;
+              }
+              if (over === 'end') { phase = 'end'; return; }
+              if (over === 'cut') throw fault.make({ step: 'http.body', sibling: req.at, sent: true }, 'broken off');
+              const quiet = await new Promise<boolean>((fin) => {
+                let off = false;
+                wakeUp = () => { off = true; fin(false); };
+                later(silence, h, () => { if (!off) fin(true); });
+              });
+              if (quiet) throw fault.make({ step: 'http.body', sibling: req.at, sent: true }, 'silence');
+            }
+          } finally {
+            if (phase !== 'end') { phase = 'end'; goneNow(); }
+            h.open.delete(mine);
+          }
+        };
+        const inc = t.inc;
+        if (severed(h, t)) return;
+        deliver(h, t, () => {
+          if (severed(h, t)) return;
+          const handler = t.http.get(req.at);
+          if (!handler) { toCaller(rejectCall); return; }
+          // The pipe is open; the request itself follows.
+          if (phase !== 'connect') return;
+          phase = 'sent';
+          t.open.add(theirs);
+          void inc;
+          const u = new URL(req.path, 'http://x');
+          const ask = { method: req.method, path: u.pathname, query: Object.fromEntries(u.searchParams), headers: Object.fromEntries(Object.entries(req.headers ?? {}).map(([k, v]) => [k.toLowerCase(), v])), body: req.body ?? '', tooBig: false };
+          fold(`${req.method}${req.path}`);
+          Promise.resolve().then(() => handler(ask, say)).catch(() => say.cut());
+        });
+        if (!t.alive) later(delay(h, t) * 2, h, rejectCall);
+      }),
+    });
+
+    const diskOf = (h: Host): Disk => {
+      const inc = h.inc;
+      const gone = (): Promise<never> => new Promise(() => undefined);
+      const op = (after: Us): Promise<void> => new Promise((fin) => { later(after, h, fin); });
+      return {
+        put: async (name, text) => {
+          const id = n++;
+          h.pending.set(id, { name, text });
+          await op(200 + rand.int(800));
+          if (h.inc !== inc) return gone();
+          h.pending.delete(id);
+          h.files.set(name, text);
+          c.syncs += 1;
+        },
+        get: async (name) => { await op(30); return h.files.get(name); },
+        list: async () => { await op(30); return [...h.files.keys()].sort(); },
+        drop: async (name) => { await op(30); h.files.delete(name); },
+      };
+    };
+
+    return {
+      rand, now: () => now, hash: () => trace.toString(16), events: () => events, syncs: () => c.syncs, frames: () => c.frames, httpCalls: () => c.http,
+      host: (ip, zone) => {
+        const h: Host = { ip, zone, alive: true, inc: 1, frozen: false, late: [], files: new Map(), pending: new Map(), skew: 0, frames: new Map(), http: new Map(), open: new Set() };
+        hosts.set(ip, h);
+        return h;
+      },
+      lens: (h) => {
+        const r = seeded(rand.int(2 ** 31));
+        return {
+          clock: {
+            now: () => now,
+            wall: () => base + now + h.skew,
+            tick: (after, fn) => { let off = false; later(after, h, () => { if (!off) fn(); }); return () => { off = true; }; },
+          },
+          rand: r, disk: diskOf(h), net: netOf(h),
+          log: (part) => (text) => logger(now, h.ip, part, text),
+        };
+      },
+      run: async (until) => {
+        // What was started from outside the world runs up to its first wait.
+        await drain();
+        while (heap.length && heap[0]!.at <= until) {
+          const e = pop();
+          now = e.at;
+          if (e.host) {
+            if (!e.host.alive || e.host.inc !== e.inc) continue;
+            if (e.host.frozen) { e.host.late.push(e); continue; }
+          }
+          events += 1;
+          trace = Math.imul(trace ^ (e.at & 0xffff) ^ (e.n & 0xffff), 0x01000193) >>> 0;
+          e.fn();
+          await drain();
+        }
+        now = until;
+      },
+      at: (at, fn) => { later(at - now, null, fn); },
+      kill: (h, how) => {
+        h.alive = false;
+        h.inc += 1;
+        h.frozen = false;
+        h.late = [];
+        h.frames.clear();
+        h.http.clear();
+        const open = [...h.open];
+        h.open.clear();
+        for (const f of open) f();
+        // What was on its way to the disk is lost, or had just arrived.
+        for (const p of h.pending.values()) if (how === 'process' ? rand.int(2) === 0 : rand.int(4) === 0) { if (p.text !== null) h.files.set(p.name, p.text); }
+        h.pending.clear();
+        if (how === 'disk') h.files.clear();
+      },
+      start: (h) => { h.alive = true; },
+      freeze: (h) => { h.frozen = true; },
+      wake: (h) => {
+        h.frozen = false;
+        const late = h.late.sort((a, b) => a.at - b.at || a.n - b.n);
+        h.late = [];
+        // Ticks and messages that came due during the freeze all run now, in their order.
+        for (const e of late) if (e.inc === h.inc) later(0, h, e.fn);
+      },
+      cut: (a, b) => {
+        const x = { a: new Set(a), b: new Set(b) };
+        cuts.add(x);
+        return () => void cuts.delete(x);
+      },
+      slow: (by) => { extra = by; },
+      logs: (fn) => { logger = fn; },
+    };
+  },
+};
