Claim a once-request before any wait, and keep refused keys quiet until Retry-After

Cause: a job waited for its slot before it claimed its key. A copy at a second edge could claim, be refused as busy, be told "not run", and give the key back, while the first copy then took its slot and ran. Ruled out: the register (one order per key was kept in all failing traces), the callers' audit (stories are now merged over all copies of a key, which had hidden rather than made breaches). Change: the claim comes first; a refusal leaves a mark in the register for less than the shortest Retry-After, so that a copy already on its way is refused as well; with a key, nobody says "no" before the claim was seen; a node that has just woken does not take keyed requests.

--- a/packages/fairway/src/index.ts
+++ b/packages/fairway/src/index.ts
@@ -15,7 +15,7 @@
 export { optionsOf } from './admission.js';
 type Chat = Plan & { kind: 'chat' };
 type Job = Plan & { kind: 'job' };
-type Once = { by: string; at: Us; turn: string; done: Done | null };
+type Once = { by: string; at: Us; turn: string; done: Done | null; refusedAt?: Us };
 type Done = { status: number; type: string; body: string; finish: string | null; prompt: number; completion: number };
 type Kept = { messages: unknown[]; marks: string[] };
 /** What the platform's list looks like in the news: one item for each pilot that reads it. */
@@ -35,6 +35,8 @@
 const silenceLimit = us.ms(1850);
 const maxTurn = us.s(300);
 const edgeGone = us.s(2);
+/** Shorter than the shortest Retry-After. */
+const refusedQuiet = us.ms(900);
 const retryBudget = { most: 10, perTurn: 0.1 };
 
 /** The workers as the news has them: the newest list, and leaving wherever any fresh list says so (§3.8). */
@@ -133,14 +135,21 @@
       const keep = us.s(config!.limits.onceKeepSeconds);
       return regs.change<{ ok: true } | { ok: false; once: Once }>(onceKey(p.cls, p.key!), (v, w) => {
         const was = v as Once | undefined;
-        if (was && was.turn !== turn) return { keep: true, result: { ok: false, once: was } };
+        // A key that was refused is free again, but only after the Retry-After that its caller was given:
+        // a copy that was already on its way must not run after "not run" was said (§5.4).
+        const quiet = was?.refusedAt !== undefined && Math.abs(w.max - was.refusedAt) < refusedQuiet;
+        if (was && was.turn !== turn && (was.refusedAt === undefined || quiet)) return { keep: true, result: { ok: false, once: was } };
         const once: Once = { by: me, at: w.max, turn, done: null };
         return { held: { value: once, until: Math.max(w.max, clock.wall()) + keep }, result: { ok: true } };
       }, left);
     };
     /** Only from a stage in which nothing was sent: the key is free again. */
     const unclaim = async (p: Chat | Job, turn: string): Promise<void> => {
-      await regs.change(onceKey(p.cls, p.key!), (v) => ((v as Once | undefined)?.turn === turn ? { held: null, result: undefined } : { keep: true, result: undefined }), us.ms(600)).catch(() => undefined);
+      await regs.change<void>(onceKey(p.cls, p.key!), (v, w) => {
+        const was = v as Once | undefined;
+        if (was?.turn !== turn) return { keep: true, result: undefined };
+        return { held: { value: { ...was, refusedAt: w.max }, until: Math.max(w.max, clock.wall()) + us.s(config!.limits.onceKeepSeconds) }, result: undefined };
+      }, us.ms(600)).catch(() => undefined);
     };
     const record = async (p: Chat | Job, turn: string, done: Done): Promise<void> => {
       const small: Done = done.body.length > 65_536 ? { ...done, body: '' , type: 'too-large' } : done;
@@ -151,6 +160,7 @@
       }, us.s(2)).catch((e) => log(`a once-result was not recorded: ${fault.text(e)}.`));
     };
     const repeated = (p: Chat | Job, say: HttpSay, once: Once): void => {
+      if (once.refusedAt !== undefined) return reject(say, 429, 'refused', 'a copy of this request has just been refused', 'no', 1);
       if (!once.done || once.done.type === 'too-large') {
         const alive = once.by === me ? inFlight.has(once.turn) : mooring.state()?.roster[once.by]?.standing !== 'dead' && mooring.state()?.roster[once.by] !== undefined;
         const fresh = clock.wall() - once.at < maxTurn;
@@ -236,15 +246,26 @@
       const left = (): Us => Math.min(silenceLimit, p.timeLeft) - (clock.now() - begun);
       let claimed = false;
       inFlight.add(turn);
-      const no = async (status: number, error: string, text: string, retryAfter: number | null): Promise<void> => {
+      const no = async (status: number, error: string, text: string, retryAfter: number | null, ran: 'no' | 'unknown' = st.ran()): Promise<void> => {
         st.go('reject');
         if (claimed) await unclaim(p, turn);
-        reject(say, status, error, text, 'no', retryAfter);
+        reject(say, status, error, text, ran, retryAfter);
       };
       try {
+        // The claim comes before any wait: a copy with the same key at another edge must find it (§5.4).
+        if (p.key !== null) {
+          if (mooring.stale()) return await no(503, 'stale', 'this node has just woken: the request may be an old copy', 1, 'unknown');
+          let r: Awaited<ReturnType<typeof claim>>;
+          try { r = await claim(p, turn, Math.max(us.ms(50), left())); } catch (e) {
+            log(`a claim failed: ${fault.text(e)}.`);
+            return await no(503, 'no_keepers', 'the claim could not be kept by a majority', backoff(), 'unknown');
+          }
+          if (!r.ok) { st.go('reject'); repeated(p, say, r.once); return; }
+          claimed = true;
+        }
         const not = new Set<string>();
         for (let round = 0; ; round++) {
-          const slot = adm.slot(p.cls, { hint: null, not, force: false, limit: Math.min(us.ms(1500), left() - adm.expected(p.cls)) });
+          const slot = adm.slot(p.cls, { hint: null, not, force: false, limit: Math.min(us.ms(1500) - (clock.now() - begun), left() - adm.expected(p.cls)) });
           say.onGone(slot.gone);
           const s = await slot.got;
           if (!s.ok) {
@@ -254,15 +275,6 @@
           let took: Us | null = null;
           try {
             if (round === 0) st.go('admit');
-            if (p.key !== null && !claimed) {
-              let r: Awaited<ReturnType<typeof claim>>;
-              try { r = await claim(p, turn, Math.max(us.ms(50), left())); } catch (e) {
-                log(`a claim failed: ${fault.text(e)}.`);
-                return await no(503, 'no_keepers', 'the claim could not be kept by a majority', backoff());
-              }
-              if (!r.ok) { st.go('reject'); repeated(p, say, r.once); return; }
-              claimed = true;
-            }
             if (!(await freshen())) return await no(503, 'stale', 'this node has just woken and could not refresh its news', 1);
             const now = adm.worker(s.worker.id);
             if (!now || now.leaving) { not.add(s.worker.id); continue; }
@@ -318,7 +330,7 @@
       let worker: string | null = null;
       inFlight.add(first);
       /** Gives the turn up before anything was sent: the result goes out first, the books follow. */
-      const no = (status: number, error: string, text: string, retryAfter: number | null): void => {
+      const no = (status: number, error: string, text: string, retryAfter: number | null, ran: 'no' | 'unknown' = st.ran()): void => {
         st.go('reject');
         if (inTable) { inTable = false; adm.end(turn, { tokens: null, final: false, worker: null }); }
         const books = (async (): Promise<void> => {
@@ -326,12 +338,13 @@
           if (claimed) await unclaim(p, first);
         })();
         void books.finally(() => inFlight.delete(first));
-        reject(say, status, error, text, 'no', retryAfter);
+        reject(say, status, error, text, ran, retryAfter);
       };
       try {
         if (p.key !== null) {
+          if (mooring.stale()) return no(503, 'stale', 'this node has just woken: the request may be an old copy', 1, 'unknown');
           let r: Awaited<ReturnType<typeof claim>>;
-          try { r = await claim(p, first, Math.max(us.ms(50), left())); } catch { return no(503, 'no_keepers', 'the claim could not be kept by a majority', backoff()); }
+          try { r = await claim(p, first, Math.max(us.ms(50), left())); } catch { return no(503, 'no_keepers', 'the claim could not be kept by a majority', backoff(), 'unknown'); }
           if (!r.ok) { st.go('reject'); return repeated(p, say, r.once); }
           claimed = true;
         }
@@ -522,11 +535,13 @@
 
     const handle = async (ask: HttpAsk, say: HttpSay): Promise<void> => {
       bump('requests');
-      if (!config) return reject(say, 503, 'not_ready', 'no configuration yet', 'no', 1);
-      if (draining && ask.method === 'POST') return reject(say, 503, 'leaving', 'this node is leaving', 'no', 1);
+      // Of a request with a key, a copy may have run elsewhere: before the claim is seen nobody may say "no" (§5.4).
+      const ran = ask.headers['idempotency-key'] === undefined ? 'no' : 'unknown';
+      if (!config) return reject(say, 503, 'not_ready', 'no configuration yet', ran, 1);
+      if (draining && ask.method === 'POST') return reject(say, 503, 'leaving', 'this node is leaving', ran, 1);
       const p = plans.make(ask, config);
       switch (p.kind) {
-        case 'reject': bump('bad_requests'); return json(say, p.status, { error: p.error, field: p.field, message: p.text, ran: 'no' }, { 'x-thornsail-ran': 'no' });
+        case 'reject': bump('bad_requests'); return json(say, p.status, { error: p.error, field: p.field, message: p.text, ran }, { 'x-thornsail-ran': ran });
         case 'recall': return recall(p.conversation, say);
         case 'job': return job(p, say);
         case 'chat': return chat(p, say);
--- a/packages/fog/src/fleet.ts
+++ b/packages/fog/src/fleet.ts
@@ -83,6 +83,7 @@
         if (p.host.alive) { w.kill(p.host, 'disk'); p.node = null; }
         procs.splice(procs.indexOf(p), 1);
         add(as, p.role, ip, p.host.zone, { ...p.options, name: as, place: `${ip}:${ports.sibling}`, http: `${ip}:${ports.http}`, ...(p.role === 'tower' ? { founders: [] } : {}) });
+        proc(as).seeds = p.seeds;
         boot(proc(as));
       },
       freeze: (name, forUs) => { const h = proc(name).host; w.freeze(h); w.at(w.now() + forUs, () => w.wake(h)); },
--- a/packages/roadstead/src/callers.ts
+++ b/packages/roadstead/src/callers.ts
@@ -3,7 +3,8 @@
 import type { Ledger } from './standins.js';
 import { standText } from './standins.js';
 
-export type KeyStory = { ran: ('no' | 'unknown' | 'yes')[]; ok: boolean };
+/** What the callers know of one key, over all copies of its request. */
+export type KeyStory = { ran: ('no' | 'unknown' | 'yes')[]; ok: boolean; sent: Us[]; no: Us[] };
 export type Summary = {
   chats: number; kept: number; jobs: number; turns: number; results: number; cut: number; rejected: Record<string, number>; gaveUp: number; failed: number;
   recalled: number; slowest: Us; urgentWaits: Us[]; chatWaits: Us[]; breaches: string[]; lastOk: Us;
@@ -131,13 +132,14 @@
 
     const job: Callers['job'] = async ({ urgent, once, key }) => {
       s.jobs += 1;
-      const story: KeyStory = { ran: [], ok: false };
+      const story: KeyStory = keys.get(key) ?? { ran: [], ok: false, sent: [], no: [] };
       if (once) keys.set(key, story);
       const begun = clock.now();
       for (let round = 0; round < 6; round++) {
         const left = us.ms(o.pushTimeLeft) - (clock.now() - begun);
         if (left <= us.ms(50)) break;
         const sent = clock.now();
+        story.sent.push(sent);
         try {
           const r = await lens.net.call({
             at: front(), method: 'POST', path: '/v1/jobs', timeLeft: Math.min(left, us.s(2)),
@@ -159,9 +161,10 @@
           const b = JSON.parse(text) as { error: string; ran?: 'no' | 'unknown' };
           note(b.error);
           story.ran.push(b.ran ?? 'unknown');
+          if (b.ran === 'no') story.no.push(clock.now());
           if ((r.status === 429 || r.status === 503) && (r.headers['retry-after'] === undefined || b.ran === undefined)) s.breaches.push(`${r.status} ${b.error} without Retry-After or ran`);
           if (b.error === 'outcome_unknown' && once) return;
-          await time.sleep(clock, Math.min(us.s(Number(r.headers['retry-after'] ?? 0.2)), us.ms(300)));
+          await time.sleep(clock, us.s(Number(r.headers['retry-after'] ?? 0.2)));
         } catch (e) {
           story.ran.push(fault.notSent(e) ? 'no' : 'unknown');
           s.failed += 1;
@@ -190,6 +193,11 @@
   }
   for (const [id, p] of byProgram) if (p.sum > o.budgets(id) + p.largest) out.push(`program ${id} received ${p.sum} tokens of a budget of ${o.budgets(id)}`);
   for (const [k, n] of byKey) if (n > 1) out.push(`once-request ${k} ran ${n} times`);
+  for (const e of o.ledger.entries) {
+    const st = e.key === null ? undefined : o.keys.get(e.key);
+    const t = st?.no.find((x) => x < e.at && !st.sent.some((y) => y >= x && y <= e.at));
+    if (t !== undefined) out.push(`once-request ${e.key} ran ${us.toMs(e.at - t)} ms after "not run", with no copy sent since`);
+  }
   for (const [k, st] of o.keys) if (!st.ok && st.ran.length && st.ran.every((r) => r === 'no') && byKey.has(k)) out.push(`once-request ${k} ran after "not run"`);
   return out;
 };
