--- a/packages/beam/src/index.ts
+++ b/packages/beam/src/index.ts
@@ -41,6 +41,7 @@
   open: (o: {
     lens: Lens; pipe: Pipe; self: string; leaf: boolean;
     relays: () => Relay[];
+    admits: (name: string) => boolean;
     /** For a leaf: the relay it hangs on. */
     attachTo: () => Place | undefined;
     /** Further places to try when the relays do not answer. */
@@ -65,7 +66,7 @@
     const take = (list: News[], from: Place | undefined, relay: boolean): void => {
       const fresh = list.filter((n) => {
         const cur = items.get(n.name);
-        if (cur && cur.mark >= n.mark) return false;
+        if ((cur && cur.mark >= n.mark) || !o.admits(n.name)) return false;
         items.set(n.name, { mark: n.mark, value: n.value, at: clock.now() });
         invariant.hold(!cur || cur.mark < n.mark, `news ${n.name} slipped back`);
         return true;
--- /dev/null
+++ b/packages/chart/test/chart.test.ts
@@ -0,0 +1,42 @@
+import { readFileSync, readdirSync } from 'node:fs';
+import { fileURLToPath } from 'node:url';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { chart } from '@thornsail/chart';
+import { shapes } from '@thornsail/roadstead';
+
+const examples = new URL('../../../examples/', import.meta.url);
+test('the shipped examples and the stand-in shapes are valid', () => {
+  const files = readdirSync(fileURLToPath(examples)).filter((f) => f.endsWith('.json'));
+  assert.ok(files.length >= 6);
+  for (const f of files) {
+    const v = JSON.parse(readFileSync(new URL(f, examples), 'utf8')) as unknown;
+    const role = /^(tower|keeper|pilot|front)\./.exec(f)?.[1] as 'tower' | undefined;
+    const c = role ? chart.options(role, v) : chart.check(v);
+    assert.equal(c.ok ? [] : c.problems, [], f);
+  }
+  for (const s of Object.values(shapes)) assert.ok(chart.check(s.config).ok);
+});
+test('every wrong value is named by its path, unknown keys among them, and defaults are filled in', () => {
+  const bad = (u: unknown): string[] => { const c = chart.check(u); assert.not.ok(c.ok); return c.ok ? [] : c.problems.map((p) => p.path).sort(); };
+  assert.equal(bad({}), ['classes']);
+  assert.equal(bad({ classes: { chat: { kind: 'gpu', weight: 0 } } }), ['classes.chat.kind', 'classes.chat.weight']);
+  assert.equal(bad({ classes: { chat: { kind: 'model', weight: 1, wieght: 2 } }, slot: 1 }), ['classes.chat.wieght', 'slot']);
+  assert.equal(bad({ classes: { chat: { kind: 'model', weight: 1 } }, scheduler: { pauseTarget: 0.99 } }), ['scheduler.pauseTarget']);
+  assert.equal(bad({ classes: { chat: { kind: 'model', weight: 1 } }, scheduler: { headroomTokens: 1.5, holdLimitMs: 1950 } }), ['scheduler.headroomTokens', 'scheduler.holdLimitMs']);
+  assert.equal(bad({ classes: {} }), ['classes']);
+  assert.equal(bad({ classes: { 'Bad Name': { kind: 'model', weight: 1 } } }).length, 1);
+  assert.equal(bad([]), ['(all)']);
+  const c = chart.check({ classes: { chat: { kind: 'model', weight: 1 } } });
+  assert.ok(c.ok);
+  assert.is(c.value.scheduler.pauseThreshold, 0.95);
+  assert.is(c.value.classes['chat']!.maxTokens, 512);
+});
+test('a merge patch changes a part, null removes, and neither side is altered', () => {
+  const base = { classes: { a: { weight: 1 }, b: { weight: 2 } } };
+  const patch = { classes: { a: null, b: { weight: 5 } } };
+  assert.equal(chart.merge(base, patch), { classes: { b: { weight: 5 } } });
+  assert.equal(base.classes.a, { weight: 1 });
+  assert.equal(patch.classes.a, null);
+});
+test.run();
--- a/packages/fairway/src/index.ts
+++ b/packages/fairway/src/index.ts
@@ -37,6 +37,7 @@
 const edgeGone = us.s(2);
 /** Shorter than the shortest Retry-After. */
 const refusedQuiet = us.ms(900);
+const slowReader = us.s(5);
 const retryBudget = { most: 10, perTurn: 0.1 };
 
 /** The workers as the news has them: the newest list, and leaving wherever any fresh list says so (§3.8). */
@@ -58,7 +59,7 @@
     const adm = admission.open(lens);
     const me = mooring.id;
     const regs = registers.open({ lens, pipe, by: me, group: () => { const k = mooring.state()?.keepers; return k && k.mark > 0 ? { mark: k.mark, members: k.members } : undefined; } });
-    const c: Record<string, number> = { requests: 0, turns: 0, jobs: 0, results: 0, rejected: 0, lost: 0, cut: 0, replayed: 0, budget_rejected: 0, retried: 0, orphaned: 0, refreshed: 0, bad_requests: 0 };
+    const c: Record<string, number> = { requests: 0, turns: 0, jobs: 0, results: 0, rejected: 0, lost: 0, cut: 0, replayed: 0, budget_rejected: 0, retried: 0, orphaned: 0, refreshed: 0, slow_cut: 0, bad_requests: 0 };
     const bump = (k: string): void => { c[k] = (c[k] ?? 0) + 1; };
     const inFlight = new Set<string>();
     let draining = false;
@@ -88,6 +89,8 @@
       const now = clock.now();
       adm.siblings(mooring.beam.all('load/').filter((x) => x.name !== `load/${me}` && now - x.item.at < us.s(5)).map((x) => x.item.value as EdgeLoad));
     };
+    /** Programs taken over from another edge lately: the siblings forget them (§4.4). */
+    const took = new Map<string, Us>();
     let loadMark = 0;
     let lastLoad = '';
     let lastPut = 0;
@@ -95,7 +98,9 @@
       time.every(clock, us.ms(250), () => {
         takeState();
         siblings();
-        const l = adm.load();
+        const now = clock.now();
+        for (const [k, at] of took) if (now - at > us.s(3) || took.size > 500) took.delete(k);
+        const l: EdgeLoad = { ...adm.load(), took: [...took.keys()] };
         const text = JSON.stringify(l);
         if (text !== lastLoad || clock.now() - lastPut > us.s(2)) {
           lastLoad = text;
@@ -185,10 +190,7 @@
 
     // --- registers of programs and conversations
     const programKey = (id: string): string => `program/${id}`;
-    const goneEdge = (by: string): boolean => {
-      const n = mooring.state()?.roster[by];
-      return n !== undefined && n.standing === 'dead' && clock.wall() - n.since > edgeGone;
-    };
+    const goneEdge = (by: string): boolean => mooring.deadFor(by) > edgeGone;
     const keepProgram = (w: { max: Us }): Us => Math.max(w.max, clock.wall()) + us.s(config!.limits.programKeepSeconds);
     const charge = (p: Chat, turn: string, reserve: number, left: Us): Promise<{ ok: true } | { ok: false; why: 'spent' | 'open' }> =>
       regs.change<{ ok: true } | { ok: false; why: 'spent' | 'open' }>(programKey(p.program), (v, w) => {
@@ -358,6 +360,7 @@
           if (kept) messages = [...kept.messages, ...p.messages];
           if (purse) {
             known = { tokens: purse.tokens, worker: purse.worker };
+            if (purse.turns > 0) took.set(p.program, clock.now());
             if (purse.spent >= p.of.budgetTokens) { bump('budget_rejected'); return no(403, 'budget_spent', 'the budget of this program is spent', null); }
           }
         } catch (e) {
@@ -480,7 +483,10 @@
         if (!headSaid) { headSaid = true; say.head(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-cache', 'x-thornsail-worker': x.worker }); }
         n += 1;
         // A slow reader holds the worker's stream back; nothing piles up here.
-        if (!say.write(`id: ${n}\ndata: ${data}\n\n`)) await say.drained();
+        if (say.write(`id: ${n}\ndata: ${data}\n\n`)) return;
+        // One that has stopped reading is let go of; the turn at the worker runs on and is settled (§5.6).
+        const stuck = await Promise.race([say.drained().then(() => false), time.sleep(clock, slowReader).then(() => true)]);
+        if (stuck && !say.gone()) { bump('slow_cut'); say.cut(); }
       };
       const finishOff = async (): Promise<void> => {
         const actual = completion === null ? Math.max(x.reserve - p.maxTokens, prompt) + count : prompt + completion;
--- a/packages/fog/src/index.ts
+++ b/packages/fog/src/index.ts
@@ -1,3 +1,4 @@
 export { world, type World, type Host } from './world.js';
 export { fleet, type Fleet, type Proc } from './fleet.js';
 export { scenarios, type Scenario, type Outcome } from './scenarios.js';
+export { rules } from './rules.js';
--- /dev/null
+++ b/packages/fog/test/api.test.ts
@@ -0,0 +1,101 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { us, type Place } from '@thornsail/lens';
+import { fleet, type Fleet } from '@thornsail/fog';
+import { root } from '@thornsail/signal';
+
+type Reply = { status: number; body: Record<string, unknown>; headers: Record<string, string> };
+const get = async (f: Fleet, work: Promise<Reply>): Promise<Reply> => {
+  let r: Reply | undefined;
+  let bad: unknown;
+  work.then((x) => { r = x; }, (e) => { bad = e; });
+  await f.until('a result', () => r !== undefined || bad !== undefined, us.s(10));
+  if (bad !== undefined) throw bad;
+  return r!;
+};
+const chat = (f: Fleet, headers: Record<string, string>, body: unknown): Promise<Reply> => get(f, f.http(f.proc('front-edge1').options['http'] as Place, 'POST', '/v1/chat/completions', body, headers));
+const good = { 'x-thornsail-program': 'p1', 'x-thornsail-class': 'chat' };
+const say = { messages: [{ role: 'user', content: 'hello [last]' }], max_tokens: 8 };
+
+test('wrong requests get a JSON error that names the field, and are not run', async () => {
+  const f = await fleet.open({ seed: 2, shape: 'lautoka' });
+  const cases: [Record<string, string>, unknown, number, string, string | null][] = [
+    [{}, say, 400, 'missing_field', 'x-thornsail-class'],
+    [{ ...good, 'x-thornsail-class': 'nosuch' }, say, 400, 'unknown_class', 'x-thornsail-class'],
+    [{ ...good, 'x-thornsail-class': 'push' }, say, 400, 'bad_field', 'x-thornsail-class'],
+    [{ 'x-thornsail-class': 'chat' }, say, 400, 'missing_field', 'x-thornsail-program'],
+    [{ ...good, 'x-thornsail-program': 'a b' }, say, 400, 'bad_field', 'x-thornsail-program'],
+    [{ ...good, 'x-thornsail-time-left-ms': '-5' }, say, 400, 'bad_field', 'x-thornsail-time-left-ms'],
+    [{ ...good, 'x-thornsail-once': 'true' }, say, 400, 'missing_field', 'idempotency-key'],
+    [{ ...good, 'x-thornsail-once': 'yes' }, say, 400, 'bad_field', 'x-thornsail-once'],
+    [good, { messages: [] }, 400, 'bad_field', 'messages'],
+    [good, { messages: [{ content: 'x' }] }, 400, 'bad_field', 'messages'],
+    [good, { ...say, max_tokens: 0 }, 400, 'bad_field', 'max_tokens'],
+    [good, { ...say, stream: 'no' }, 400, 'bad_field', 'stream'],
+    [good, [1], 400, 'bad_field', 'body'],
+    [good, { messages: [{ role: 'user', content: 'x'.repeat(1_100_000) }] }, 413, 'too_large', 'body'],
+  ];
+  for (const [h, b, status, error, field] of cases) {
+    const r = await chat(f, h, b);
+    assert.equal([r.status, r.body['error'], r.body['field'], r.body['ran']], [status, error, field, 'no']);
+  }
+  const raw = await get(f, f.http(f.proc('front-edge1').options['http'] as Place, 'POST', '/nosuch', {}));
+  assert.is(raw.status, 404);
+  assert.is(f.ledger.entries.length, 0);
+});
+
+test('a whole result, a repeated key, a spent budget, a recalled conversation', async () => {
+  const f = await fleet.open({ seed: 3, shape: 'lautoka', config: (c) => { (c['classes'] as Record<string, Record<string, unknown>>)['chat']!['budgetTokens'] = 60; return c; } });
+  const key = { 'idempotency-key': 'k1', 'x-thornsail-once': 'true' };
+  const a = await chat(f, { ...good, ...key }, { ...say, stream: false });
+  assert.is(a.status, 200);
+  const b = await get(f, f.http(f.proc('front-edge5').options['http'] as Place, 'POST', '/v1/chat/completions', { ...say, stream: false }, { ...good, ...key }));
+  assert.equal([b.status, b.headers['x-thornsail-replayed'], b.body['choices']], [200, 'true', a.body['choices']]);
+  assert.is(f.ledger.entries.length, 1);
+  let spent = a;
+  for (let i = 0; i < 6 && spent.status === 200; i++) spent = await chat(f, good, { ...say, stream: false });
+  assert.equal([spent.status, spent.body['error'], spent.body['ran']], [403, 'budget_spent', 'no']);
+  const tutor = { 'x-thornsail-program': 't1', 'x-thornsail-class': 'tutor', 'x-thornsail-conversation': 'c1' };
+  assert.is((await chat(f, tutor, { ...say, stream: false })).status, 200);
+  const c = await get(f, f.http(f.proc('front-edge6').options['http'] as Place, 'GET', '/v1/conversations/c1'));
+  assert.equal([c.status, (c.body['messages'] as unknown[]).length], [200, 2]);
+  assert.is((await get(f, f.http(f.proc('front-edge6').options['http'] as Place, 'GET', '/v1/conversations/none'))).status, 404);
+});
+
+test('operators get the same from any node; with the core cut off a node says that it has no agreed result', async () => {
+  const f = await fleet.open({ seed: 4, shape: 'granite' });
+  const ask = (name: string, what: string): Promise<Reply> => get(f, f.http(f.proc(name).options['http'] as Place, 'GET', `${root}/${what}`));
+  for (const what of ['config', 'classes', 'nodes', 'workers', 'status', 'marks', 'keepers']) {
+    const all: Reply[] = [];
+    for (const n of ['front-edge1', 'pilot-edge4', 'tower2', 'keeper3']) all.push(await ask(n, what));
+    for (const r of all) assert.equal(r.body, all[0]!.body, what);
+    assert.ok(typeof all[0]!.body['mark'] === 'number');
+  }
+  const bad = await get(f, f.http(f.proc('pilot-edge2').options['http'] as Place, 'PATCH', `${root}/config`, { classes: { repair: { weight: -1 } } }, { 'if-match': '1' }));
+  assert.equal([bad.status, (bad.body['problems'] as { path: string }[])[0]!.path], [422, 'classes.repair.weight']);
+  const old = await get(f, f.http(f.proc('keeper1').options['http'] as Place, 'PATCH', `${root}/config`, { slots: { model: 9 } }, { 'if-match': '0' }));
+  assert.equal([old.status, old.body['mark']], [409, 1]);
+  const push = (): Promise<Reply> => get(f, f.http(f.proc('front-edge7').options['http'] as Place, 'PATCH', `${root}/config`, { slots: { model: 9 } }, { 'if-match': '1', 'push-id': 'same' }));
+  assert.equal([(await push()).body['mark'], (await push()).body['repeated']], [2, true]);
+  f.cut(['tower1', 'tower2', 'tower3'], f.procs.filter((p) => p.role !== 'tower').map((p) => p.name));
+  const r = await ask('front-edge1', 'config');
+  assert.equal([r.status, r.body['error']], [503, 'not_agreed']);
+});
+
+test('fronts are not ready before there is a configuration, nor when leaving', async () => {
+  const f = await fleet.open({ seed: 5, shape: 'lautoka', noConfig: true });
+  await f.w.run(us.s(4));
+  const at = f.proc('front-edge1').options['http'] as Place;
+  const r = await get(f, f.http(at, 'GET', '/ready'));
+  assert.equal([r.status, (r.body['why'] as string[]).includes('no configuration')], [503, true]);
+  const no = await chat(f, good, say);
+  assert.equal([no.status, no.headers['retry-after'], no.body['ran']], [503, '1', 'no']);
+  await get(f, f.push(f.shape.config, 0).then((x) => ({ status: x.status, body: {}, headers: {} })));
+  await f.until('readiness', () => f.ready() === 7, us.s(5));
+  await get(f, f.http(f.proc('pilot-edge3').options['http'] as Place, 'POST', `${root}/drain/front-edge1`));
+  await f.w.run(f.w.now() + us.s(1));
+  const gone = await get(f, f.http(at, 'GET', '/ready'));
+  assert.equal([gone.status, (gone.body['why'] as string[]).includes('leaving')], [503, true]);
+  assert.equal(f.breaches(), []);
+});
+test.run();
--- /dev/null
+++ b/packages/fog/test/registers.test.ts
@@ -0,0 +1,108 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { registers, store, type Group, type Registers } from '@thornsail/keeper';
+import { fault, invariant, us } from '@thornsail/lens';
+import { logbook } from '@thornsail/logbook';
+import { pipe } from '@thornsail/pipe';
+import { world, type Host } from '@thornsail/fog';
+
+type Op = { id: string; key: string; from: number; to: number; saw: string[] | null; ok: boolean };
+
+/** Appends are linearizable when every result is a prefix of the last value, in real-time order, each id at most once. */
+const check = (ops: Op[], last: Map<string, string[]>): string[] => {
+  const out: string[] = [];
+  for (const [key, list] of last) {
+    if (new Set(list).size !== list.length) out.push(`${key}: an append took effect twice`);
+    for (const o of ops.filter((x) => x.key === key && x.ok)) {
+      const at = list.indexOf(o.id);
+      if (at < 0) { out.push(`${key}: an acknowledged append is lost`); continue; }
+      if (o.saw!.join() !== list.slice(0, at).join()) out.push(`${key}: ${o.id} saw what was never before it`);
+      for (const p of ops) if (p.key === key && p.ok && p.to < o.from && list.indexOf(p.id) > at) out.push(`${key}: ${p.id} ended before ${o.id} began, yet follows it`);
+    }
+  }
+  return out;
+};
+
+const history = async (seed: number, o: { faults: boolean; regroup: boolean }): Promise<{ problems: string[]; done: number; unknown: number }> => {
+  invariant.clear();
+  const w = world.open({ seed, zoneDelay: us.ms(1.5), clientDelay: us.ms(1), clientIp: '127.0.9.9' });
+  const places = [1, 2, 3, 4].map((i) => ({ host: w.host(`127.0.2.${i}`, `z${i}`), at: `127.0.2.${i}:7101`, id: `k${i}` }));
+  const boot = async (h: Host, at: string, id: string): Promise<void> => {
+    const lens = w.lens(h);
+    const p = await pipe.open(lens, at);
+    await store.open({ lens, pipe: p, book: await logbook.open(lens.disk), freshId: id });
+  };
+  for (const k of places) void boot(k.host, k.at, k.id);
+  const members = (ids: number[]): Group['members'] => ids.map((i) => ({ id: `k${i}`, at: `127.0.2.${i}:7101` }));
+  let group: Group = { mark: 1, members: members([1, 2, 3]) };
+  const edges: Registers[] = [];
+  const hosts: Host[] = [];
+  for (let e = 0; e < 3; e++) {
+    const h = w.host(`127.0.1.${e}`, `z${e + 1}`);
+    hosts.push(h);
+    const lens = w.lens(h);
+    void pipe.open(lens, `127.0.1.${e}:7101`).then((p) => { edges[e] = registers.open({ lens, pipe: p, by: `edge${e}`, group: () => group }); });
+  }
+  await w.run(us.ms(50));
+  const ops: Op[] = [];
+  const r = w.rand;
+  let open = 0;
+  for (let i = 0; i < 60; i++) {
+    const e = r.int(3);
+    const key = `key${r.int(3)}`;
+    w.at(us.ms(50) + r.int(us.s(3)), () => {
+      const op: Op = { id: `a${i}`, key, from: w.now(), to: Infinity, saw: null, ok: false };
+      ops.push(op);
+      open += 1;
+      edges[e]!.change(key, (v, x) => {
+        const list = (v as string[] | undefined) ?? [];
+        return { held: { value: [...list, op.id], until: x.max + us.s(9999) }, result: list };
+      }, us.ms(700)).then((saw) => { op.saw = saw; op.ok = true; op.to = w.now(); }, (err) => { assert.is(fault.info(err).code, 'no-majority'); }).finally(() => { open -= 1; });
+    });
+  }
+  if (o.faults) for (let i = 0; i < 5; i++) w.at(r.int(us.s(3)), () => {
+    const k = places[r.int(3)]!;
+    if (!k.host.alive) return;
+    if (r.int(3) === 0) { w.freeze(k.host); w.at(w.now() + r.int(us.ms(600)), () => w.wake(k.host)); return; }
+    w.kill(k.host, 'power');
+    w.at(w.now() + r.int(us.ms(500)), () => { w.start(k.host); void boot(k.host, k.at, k.id); });
+  });
+  if (o.regroup) {
+    // Add k4, settle every key under the new mark, take k1 out, settle again.
+    const step = async (): Promise<void> => {
+      group = { mark: 2, members: members([1, 2, 3, 4]) };
+      for (const k of [0, 1, 2]) await edges[0]!.settleKey(`key${k}`, us.s(3));
+      group = { mark: 3, members: members([2, 3, 4]) };
+      for (const k of [0, 1, 2]) await edges[0]!.settleKey(`key${k}`, us.s(3));
+      w.kill(places[0]!.host, 'disk');
+    };
+    w.at(us.ms(900), () => void step());
+  }
+  await w.run(us.s(6));
+  const last = new Map<string, string[]>();
+  for (let k = 0; k < 3; k++) void edges[r.int(3)]!.read(`key${k}`, us.s(4)).then((v) => last.set(`key${k}`, (v as string[] | undefined) ?? []));
+  await w.run(us.s(11));
+  assert.is(open, 0);
+  assert.is(last.size, 3, 'the registers could not be read at the end');
+  return { problems: [...check(ops, last), ...invariant.breaches()], done: ops.filter((x) => x.ok).length, unknown: ops.filter((x) => !x.ok).length };
+};
+
+test('the checker itself finds a lost, a doubled and a reordered append', () => {
+  const op = (id: string, from: number, to: number, saw: string[]): Op => ({ id, key: 'k', from, to, saw, ok: true });
+  assert.is(check([op('a', 0, 1, [])], new Map([['k', []]])).length, 1);
+  assert.is(check([op('a', 0, 1, [])], new Map([['k', ['a', 'a']]])).length, 1);
+  assert.ok(check([op('a', 0, 1, ['b']), op('b', 2, 3, [])], new Map([['k', ['b', 'a']]])).length > 0);
+  assert.is(check([op('a', 0, 1, []), op('b', 2, 3, ['a'])], new Map([['k', ['a', 'b']]])).length, 0);
+});
+test('register histories are linearizable without faults', async () => {
+  for (let s = 1; s <= 10; s++) { const h = await history(s, { faults: false, regroup: false }); assert.equal(h.problems, [], `seed ${s}`); assert.is(h.unknown, 0); }
+});
+test('register histories are linearizable with keepers losing power and freezing', async () => {
+  let done = 0;
+  for (let s = 1; s <= 40; s++) { const h = await history(s, { faults: true, regroup: false }); assert.equal(h.problems, [], `seed ${s}`); done += h.done; }
+  assert.ok(done > 40 * 30, `only ${done} appends were acknowledged`);
+});
+test('register histories are linearizable while the group changes and its old member is lost', async () => {
+  for (let s = 1; s <= 30; s++) { const h = await history(s, { faults: false, regroup: true }); assert.equal(h.problems, [], `seed ${s}`); assert.ok(h.done > 30); }
+});
+test.run();
--- /dev/null
+++ b/packages/fog/test/rules-c.test.ts
@@ -0,0 +1,3 @@
+import { rules } from '@thornsail/fog';
+
+rules.test('leaving,config,durable'.split(','), [1, 2, 3]);
--- /dev/null
+++ b/packages/fog/test/rules-e.test.ts
@@ -0,0 +1,3 @@
+import { rules } from '@thornsail/fog';
+
+rules.test('rolling,random'.split(','), [1, 2, 3]);
--- /dev/null
+++ b/packages/fog/test/views.test.ts
@@ -0,0 +1,83 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { fault, invariant, us } from '@thornsail/lens';
+import { logbook } from '@thornsail/logbook';
+import { pipe } from '@thornsail/pipe';
+import { views, type Marked, type Views } from '@thornsail/tower';
+import { world, type Host } from '@thornsail/fog';
+
+type List = { list: string[] };
+type Tower = { at: string; host: Host; v: Views<List> | null; log: Marked<List>[] };
+
+const run = async (seed: number, faults: 'none' | 'any'): Promise<{ acked: string[]; refused: Set<string>; towers: Tower[]; marks: Map<number, string>; problems: string[]; now: number }> => {
+  invariant.clear();
+  const w = world.open({ seed, zoneDelay: us.ms(1.5), clientDelay: us.ms(1), clientIp: '127.0.9.9' });
+  const at = [1, 2, 3].map((i) => `127.0.3.${i}:7101`);
+  const marks = new Map<number, string>();
+  const problems: string[] = [];
+  const towers: Tower[] = at.map((a, i) => ({ at: a, host: w.host(`127.0.3.${i + 1}`, `z${i + 1}`), v: null, log: [] }));
+  const boot = async (t: Tower): Promise<void> => {
+    const lens = w.lens(t.host);
+    const inc = t.host.inc;
+    let last = -1;
+    const v = await views.open<List>({
+      lens, pipe: await pipe.open(lens, t.at), book: await logbook.open(lens.disk), founders: at, initial: { list: [] },
+      onDone: (m) => {
+        // One order for all: a mark stands for one state, whoever delivers it, and never goes back.
+        const text = `${m.view}:${m.state.list.join()}`;
+        if ((marks.get(m.seq) ?? text) !== text) problems.push(`mark ${m.seq} was delivered as two states`);
+        marks.set(m.seq, text);
+        if (m.seq <= last) problems.push(`${t.at} delivered ${m.seq} after ${last}`);
+        last = m.seq;
+        t.log.push(m);
+      },
+    });
+    if (t.host.inc === inc) t.v = v;
+  };
+  for (const t of towers) void boot(t);
+  await w.run(us.s(3));
+  const r = w.rand;
+  const acked: string[] = [];
+  const refused = new Set<string>();
+  for (let i = 0; i < 80; i++) w.at(us.s(3) + r.int(us.s(12)), () => {
+    const t = towers[r.int(3)]!;
+    if (!t.host.alive || !t.v) return;
+    const id = `x${i}`;
+    t.v.propose((s) => ({ state: { list: [...s.list, id] }, result: id })).then(() => acked.push(id), (e) => { if (fault.info(e).code === 'moved') refused.add(id); });
+  });
+  if (faults === 'any') for (let i = 0; i < 6; i++) w.at(us.s(3) + r.int(us.s(11)), () => {
+    const t = towers[r.int(3)]!;
+    const k = r.int(3);
+    if (k === 0 && t.host.alive) { w.kill(t.host, 'power'); t.v = null; w.at(w.now() + r.int(us.s(2)), () => { w.start(t.host); void boot(t); }); }
+    else if (k === 1 && t.host.alive && !t.host.frozen) { w.freeze(t.host); w.at(w.now() + r.int(us.s(3)), () => w.wake(t.host)); }
+    else { const heal = w.cut([t.host], towers.filter((x) => x !== t).map((x) => x.host)); w.at(w.now() + r.int(us.s(3)), heal); }
+  });
+  await w.run(us.s(24));
+  return { acked, refused, towers, marks, problems: [...problems, ...invariant.breaches()], now: w.now() };
+};
+const final = (towers: Tower[]): string[] => towers.map((t) => t.v?.done()).filter((x): x is Marked<List> => x !== undefined).sort((a, b) => b.seq - a.seq)[0]!.state.list;
+
+test('towers form, one leads, all deliver one order', async () => {
+  for (let s = 1; s <= 10; s++) {
+    const x = await run(s, 'none');
+    assert.equal(x.problems, [], `seed ${s}`);
+    assert.is(x.towers.filter((t) => t.v?.standing() === 'lead').length, 1);
+    assert.equal([...final(x.towers)].sort(), [...x.acked].sort());
+    assert.is(new Set(x.towers.map((t) => t.v!.done()!.seq)).size, 1);
+  }
+});
+test('with power loss, freezes and cuts: what was acknowledged stays, what was refused never shows, one order', async () => {
+  let acked = 0;
+  for (let s = 1; s <= 40; s++) {
+    const x = await run(s, 'any');
+    assert.equal(x.problems, [], `seed ${s}`);
+    const f = final(x.towers);
+    for (const id of x.acked) assert.ok(f.includes(id), `seed ${s}: acknowledged ${id} is lost`);
+    for (const id of x.refused) assert.not.ok(f.includes(id), `seed ${s}: ${id} was not taken, yet it is there`);
+    assert.is(new Set(f).size, f.length);
+    assert.is(x.towers.filter((t) => t.v?.standing() === 'lead').length, 1, `seed ${s}: no single head in the end`);
+    acked += x.acked.length;
+  }
+  assert.ok(acked > 200, `only ${acked} acknowledged`);
+});
+test.run();
--- a/packages/keeper/src/store.ts
+++ b/packages/keeper/src/store.ts
@@ -31,7 +31,6 @@
   learn: (g: Group) => Promise<void>;
   size: () => number;
   counts: () => { prepares: number; accepts: number; rejected: number; mended: number; purged: number };
-  damaged: () => boolean;
 };
 
 /** What a keeper waits beyond `until` before it may drop a copy: longer than any message or freeze lives (§6.4). */
@@ -42,6 +41,12 @@
     const { lens, pipe, book } = o;
     const log = lens.log('keeper');
     const c = { prepares: 0, accepts: 0, rejected: 0, mended: 0, purged: 0 };
+    // A file under its final name was synced before its rename: if it does not read back, the disk is damaged (§6.1).
+    for (const name of book.names()) await book.read(name);
+    if (book.counts().torn > 0) {
+      log('the data folder is damaged: it is emptied, and this is a new identity.');
+      await book.wipe();
+    }
     const kept = await book.read<{ id: string }>('identity');
     const id = kept?.value.id ?? o.freshId ?? `keeper-${lens.rand.id()}`;
     if (!kept) await book.write('identity', 1, { id });
@@ -51,9 +56,6 @@
       const d = await book.read<Copy>(name);
       if (d) copies.set(name.slice(4), { mark: d.mark, copy: d.value });
     }
-    // A file under its final name was synced before its rename: if it does not read back, the disk is damaged (§6.1).
-    const damaged = book.counts().torn > 0;
-    if (damaged) log('the data folder is damaged: this copy does not count until it is emptied.');
     const short = lock.keyed();
     const learn = (g: Group): Promise<void> => short('group', async () => {
       if (group && g.mark <= group.mark) {
@@ -65,7 +67,7 @@
       log(`group mark is ${g.mark}.`);
     });
     const guard = async (m: Base): Promise<Reply | undefined> => {
-      if (m.to !== id || damaged) return { ok: false, why: 'identity' };
+      if (m.to !== id) return { ok: false, why: 'identity' };
       if (!group || m.group.mark > group.mark) await learn(m.group);
       if (group!.mark > m.group.mark) return { ok: false, why: 'group', group: group! };
       if (!group!.members.some((k) => k.id === id)) return { ok: false, why: 'identity' };
@@ -131,7 +133,7 @@
     });
     pipe.on<Base & { ballot: Ballot; wall: Us }>('reg.purge', (m) => short(m.key, async () => {
       const cur = copies.get(m.key)?.copy;
-      if (m.to !== id || damaged || !cur || ballot.cmp(cur.accepted, m.ballot) !== 0) return { ok: false };
+      if (m.to !== id || !cur || ballot.cmp(cur.accepted, m.ballot) !== 0) return { ok: false };
       // Forgetting a promise is only safe once nothing that relied on it can still be on its way.
       if (Math.max(cur.touched, cur.held?.until ?? 0) + grace > Math.min(m.wall, lens.clock.wall())) return { ok: false };
       await book.remove(`reg:${m.key}`);
@@ -139,6 +141,6 @@
       c.purged += 1;
       return { ok: true };
     }));
-    return { id, group: () => group, learn, size: () => copies.size, counts: () => ({ ...c }), damaged: () => damaged };
+    return { id, group: () => group, learn, size: () => copies.size, counts: () => ({ ...c }) };
   },
 };
--- a/packages/logbook/src/index.ts
+++ b/packages/logbook/src/index.ts
@@ -8,6 +8,8 @@
   write: (name: string, mark: number, value: unknown) => Promise<void>;
   remove: (name: string) => Promise<void>;
   names: () => string[];
+  /** Forgets everything: a damaged folder is an empty one, and its machine a new identity (§6.1). */
+  wipe: () => Promise<void>;
   counts: () => { syncs: number; torn: number };
 };
 
@@ -58,6 +60,10 @@
         have.delete(name);
       }),
       names: () => [...have.keys()],
+      wipe: async () => {
+        for (const [name, marks] of have) for (const m of marks) await disk.drop(file(name, m));
+        have.clear();
+      },
       counts: () => ({ ...c }),
     };
   },
--- a/packages/mooring/src/index.ts
+++ b/packages/mooring/src/index.ts
@@ -18,6 +18,8 @@
   marked: () => Marked<Ordered> | undefined;
   inRoster: () => boolean;
   inc: () => number;
+  /** For how long this node has known another one to be dead; 0 while it is not. By its own clock: walls may differ. */
+  deadFor: (id: string) => Us;
   /** True when this process has just been frozen and has not yet refreshed its news (§3.7). */
   stale: () => boolean;
   refresh: (timeLeft?: Us) => Promise<boolean>;
@@ -46,8 +48,15 @@
     const live = (): NodeEntry[] => { const s = state(); return s ? order.live(s) : []; };
     const relays = (): { id: string; place: Place }[] => live().filter((n) => n.role !== 'front');
     let besideBad = 0;
+    const deadSince = new Map<string, Us>();
+    /** News of a dead node is neither kept nor taken again from a sibling that has not heard (§3.5). */
+    const admits = (name: string): boolean => {
+      const i = name.indexOf('/');
+      const s = state();
+      return i < 0 || !s || s.roster[name.slice(i + 1)]?.standing !== 'dead';
+    };
     const b = beam.open({
-      lens, pipe, self: id, leaf: role === 'front', relays,
+      lens, pipe, self: id, leaf: role === 'front', relays, admits,
       attachTo: () => {
         if (!o.beside) return undefined;
         const n = live().find((x) => x.place === o.beside);
@@ -94,12 +103,9 @@
       if (n.name !== 'order') return;
       const v = n.value as Marked<Ordered>;
       remember(order.live(v.state).map((x) => ({ place: x.place, role: x.role })));
-      b.drop((k) => {
-        const i = k.indexOf('/');
-        if (i < 0) return true;
-        const n2 = v.state.roster[k.slice(i + 1)];
-        return n2 === undefined || n2.standing !== 'dead';
-      });
+      b.drop(admits);
+      for (const n2 of Object.values(v.state.roster)) if (n2.standing !== 'dead') deadSince.delete(n2.id); else if (!deadSince.has(n2.id)) deadSince.set(n2.id, clock.now());
+      if (deadSince.size > 1024) deadSince.delete(deadSince.keys().next().value as string);
       for (const w of watchers) w(v.state, v.seq);
     });
     const join = async (): Promise<void> => {
@@ -145,6 +151,13 @@
       id, beam: b, core, lookout: look, state, marked, inRoster, stale, refresh,
       mark: () => marked()?.seq ?? 0,
       inc: () => inc,
+      deadFor: (who) => {
+        // One that the roster has forgotten was dead long before.
+        const s = state();
+        if (s && !s.roster[who] && !deadSince.has(who)) deadSince.set(who, clock.now());
+        const at = deadSince.get(who);
+        return at === undefined ? 0 : clock.now() - at;
+      },
       onState: (fn) => void watchers.push(fn),
       leave: async () => {
         leaving = true;
--- a/packages/pilotage/src/index.ts
+++ b/packages/pilotage/src/index.ts
@@ -25,7 +25,7 @@
 export type State = {
   options: Options; programs: Map<string, Program>; held: Map<string, Held>; running: Map<string, string>;
   workers: Map<string, Worker>; siblings: Sibling; lastTick: Us;
-  counts: { arrived: number; released: number; held: number; resumed: number; forced: number; rejected: number; paused: number; marked: number; ended: number; expired: number; moved: number };
+  counts: { arrived: number; released: number; held: number; resumed: number; forced: number; rejected: number; paused: number; marked: number; ended: number; expired: number; moved: number; repacked: number };
 };
 export type Why = 'ordinary' | 'resumed' | 'forced';
 export type Event =
@@ -34,6 +34,7 @@
   | { kind: 'end'; turn: string; tokens: number | null; final: boolean; worker: string | null }
   | { kind: 'gone'; turn: string }
   | { kind: 'due' }
+  | { kind: 'moved'; program: string }
   | { kind: 'tick' }
   | { kind: 'workers'; list: Worker[] }
   | { kind: 'siblings'; siblings: Sibling }
@@ -45,7 +46,7 @@
   | { kind: 'paused'; program: string; worker: string | null }
   | { kind: 'marked'; program: string; worker: string | null }
   | { kind: 'resumed'; program: string; worker: string }
-  | { kind: 'ended'; program: string; why: 'final' | 'idle' | 'evicted' };
+  | { kind: 'ended'; program: string; why: 'final' | 'idle' | 'evicted' | 'moved' };
 
 const weight = (s: State, p: Program): number => (p.phase === 'acting' ? p.tokens * s.options.actingTokenWeight : p.tokens);
 const counts = (p: Program): boolean => p.standing === 'active' && p.worker !== null;
@@ -78,7 +79,7 @@
   p.phase = 'reasoning';
   p.touched = now;
   if (p.worker === null || !s.workers.get(p.worker)?.eligible) {
-    if (p.worker !== null) s.counts.moved += 1;
+    if (p.worker !== null) s.counts.repacked += 1;
     p.worker = leastUsed(s, own(s));
   }
   s.running.set(turn, p.id);
@@ -286,7 +287,7 @@
   }),
   open: (options: Options, now: Us): State => ({
     options, programs: new Map(), held: new Map(), running: new Map(), workers: new Map(), siblings: { tokens: new Map(), sharers: 0 }, lastTick: now,
-    counts: { arrived: 0, released: 0, held: 0, resumed: 0, forced: 0, rejected: 0, paused: 0, marked: 0, ended: 0, expired: 0, moved: 0 },
+    counts: { arrived: 0, released: 0, held: 0, resumed: 0, forced: 0, rejected: 0, paused: 0, marked: 0, ended: 0, expired: 0, moved: 0, repacked: 0 },
   }),
   step: (s: State, e: Event, now: Us): { state: State; effects: Effect[] } => {
     const effects = ((): Effect[] => {
@@ -300,6 +301,14 @@
         case 'end': return end(s, e.turn, e, now);
         case 'gone': { if (s.held.delete(e.turn)) return []; return end(s, e.turn, { tokens: null, final: false, worker: null }, now); }
         case 'due': return force(s, now);
+        case 'moved': {
+          // Another edge has taken the program over by its register; it no longer counts here (§4.4).
+          const p = s.programs.get(e.program);
+          if (!p || p.turn !== null || heldOf(s, p.id)) return [];
+          s.programs.delete(p.id);
+          s.counts.moved += 1;
+          return [{ kind: 'ended', program: p.id, why: 'moved' }];
+        }
         case 'tick': {
           s.lastTick = now;
           // Resume before pause: what is paused in this pass cannot be resumed in it (§4.2).
--- a/packages/thornsail/src/roles.ts
+++ b/packages/thornsail/src/roles.ts
@@ -122,7 +122,7 @@
     const stopSweep = sweepDuty({ lens, pipe: p, mooring: m, registers: regs, id: s.id, voters: () => m.marked()?.members.map((x) => x.at) ?? [], counts });
     return serve({
       lens, pipe: p, mooring: m, registers: regs, role: 'keeper', name: o.name, http: o.http,
-      ready: () => { const g = groupOf(m); const why = [...(g ? [] : ['no keeper group']), ...(g && !g.members.some((k) => k.id === s.id) ? ['not a member'] : []), ...(s.damaged() ? ['damaged disk'] : [])]; return { ok: why.length === 0, why }; },
+      ready: () => { const g = groupOf(m); const why = [...(g ? [] : ['no keeper group']), ...(g && !g.members.some((k) => k.id === s.id) ? ['not a member'] : [])]; return { ok: why.length === 0, why }; },
       counts: () => ({ ...commonCounts(p, m), ...s.counts(), ...counts, records: s.size(), group_mark: s.group()?.mark ?? 0, syncs: book.counts().syncs, torn: book.counts().torn }),
       drain: async () => undefined,
       stop: stopSweep,
--- a/packages/tower/src/core.ts
+++ b/packages/tower/src/core.ts
@@ -74,7 +74,14 @@
       }
     };
     const aliveIn = (s: Ordered, id: string): boolean => s.roster[id] !== undefined && s.roster[id].standing !== 'dead';
-    const goneFor = (s: Ordered, id: string): Us => (aliveIn(s, id) ? 0 : lens.clock.wall() - (s.roster[id]?.since ?? 0));
+    /** By this head's own clock: walls may differ, and a new head counts anew. */
+    const goneSince = new Map<string, Us>();
+    const goneFor = (s: Ordered, id: string): Us => {
+      if (aliveIn(s, id)) { goneSince.delete(id); return 0; }
+      const at = goneSince.get(id) ?? lens.clock.now();
+      goneSince.set(id, at);
+      return lens.clock.now() - at;
+    };
 
     /** Keeper group: formed once, then changed by one member at a time, each change swept before the next. */
     const keepers = async (): Promise<void> => {
--- a/packages/tower/src/views.ts
+++ b/packages/tower/src/views.ts
@@ -52,6 +52,11 @@
     const machine = interpret(standingMachine, () => log(`standing is ${standing()}.`));
     const standing = (): Standing => machine.machine.current as Standing;
 
+    for (const name of book.names()) await book.read(name);
+    if (book.counts().torn > 0) {
+      log('the data folder is damaged: it is emptied, and this is a new identity.');
+      await book.wipe();
+    }
     const identity = await book.read<{ id: string }>('identity');
     const id = identity?.value.id ?? `tower-${rand.id()}`;
     if (!identity) await book.write('identity', 1, { id });
