A register change takes effect once even when its first round reached a minority

Ruled out: the acceptors (every accepted ballot was in order) and the checker (it has tests of its own). Change: a value names its last changes; a proposer that finds one of its own settles that value and gives that round's result instead of applying the function again.

--- a/packages/fog/src/sweep-cli.ts
+++ b/packages/fog/src/sweep-cli.ts
@@ -7,7 +7,7 @@
 
 const out = (t: string): void => void process.stdout.write(`${t}\n`);
 const wrong = (t: string): never => { process.stderr.write(`sweep: ${t}\n`); process.exit(2); };
-const given: Record<string, string> = { seeds: '', seed: '', from: '1', only: '', shape: '', log: '', child: '' };
+const given: Record<string, string> = { seeds: '', seed: '', from: '1', only: '', shape: '', log: '', child: '', workers: '' };
 for (let i = 2; i < process.argv.length; i += 2) {
   const k = process.argv[i]!.replace(/^--/, '');
   if (!Object.hasOwn(given, k) || process.argv[i + 1] === undefined) wrong(`unknown or incomplete flag ${process.argv[i]}`);
@@ -67,7 +67,7 @@
     child.on('close', (code) => { if (code !== 0) { lines.push({ name: j!, shape: 'lautoka', seed: 0, breaches: ['the run died'], figures: {}, took: 0 }); out(`BREACH ${j}: the run died`); } fin(); });
   });
 };
-await Promise.all(Array.from({ length: Math.max(1, availableParallelism() - 1) }, work));
+await Promise.all(Array.from({ length: given['workers'] ? Number(given['workers']) : Math.max(1, availableParallelism() - 1) }, work));
 for (const n of names) for (const sh of shapes) {
   const mine = lines.filter((l) => l.name === n && l.shape === sh);
   const keys = [...new Set(mine.flatMap((l) => Object.keys(l.figures)))];
--- a/packages/keeper/src/registers.ts
+++ b/packages/keeper/src/registers.ts
@@ -6,11 +6,14 @@
 
 /** The wall as the keepers see it: a moved clock on one of them must not age a value (§6.4). */
 export type Walls = { min: Us; max: Us };
-export type Write<R> = { held: Held | null; result: R } | { keep: true; result: R };
+export type Write<R> = { held: Omit<Held, 'ops'> | null; result: R } | { keep: true; result: R };
 export type Registers = {
   /** Reads the agreed value; throws with code 'no-majority' rather than say it is missing. */
   read: (key: string, timeLeft?: Us) => Promise<unknown>;
-  /** Compare-and-set by function: `fn` sees the agreed value and gives the next. It may run more than once. */
+  /**
+   * Compare-and-set by function: `fn` sees the agreed value and gives the next. It may be called more than once,
+   * but takes effect once: a round whose accepts went to a minority is recognised if its value lives on.
+   */
   change: <R>(key: string, fn: (value: unknown, walls: Walls) => Write<R>, timeLeft?: Us) => Promise<R>;
   /** Brings one key onto a majority of the present group under its mark (§6.5). */
   settleKey: (key: string, timeLeft?: Us) => Promise<void>;
@@ -19,6 +22,8 @@
 };
 
 type Known = { mark: number; next: Ballot; held: Held | null; walls: Walls; at: Us };
+/** How many changes a value remembers: more than can be in flight for one key at once. */
+const opsKept = 12;
 const majority = (n: number): number => Math.floor(n / 2) + 1;
 const absent = (h: Held | null, w: Walls): boolean => h === null || h.until <= w.min;
 
@@ -41,6 +46,7 @@
       if (cache.size > 4096) cache.delete(cache.keys().next().value as string);
     };
     const short = lock.keyed();
+    let opNo = 0;
 
     type Got = { from: Keep; reply: Reply };
     /** Asks every member; resolves when a majority said ok, or none can be had any more. */
@@ -88,6 +94,7 @@
     const change = <R>(key: string, fn: (value: unknown, w: Walls) => Write<R>, timeLeft: Us = us.s(2), force = false): Promise<R> => short(key, async () => {
       const end = clock.now() + timeLeft;
       let top: Ballot = ballot.zero;
+      const tried = new Map<string, R>();
       for (let round = 0; ; round++) {
         const left = end - clock.now();
         if (left <= 0) throw fault.make({ step: 'register.change', code: 'no-majority' }, `${key}: no majority in time`);
@@ -122,8 +129,12 @@
           held = best.copy.held;
           w = walls(p.ok);
         }
-        const r = fn(absent(held, w) ? undefined : held!.value, w);
-        const put = 'keep' in r ? held : r.held;
+        const lived = held?.ops.find((x) => tried.has(x));
+        const r: Write<R> = lived !== undefined ? { keep: true, result: tried.get(lived)! } : fn(absent(held, w) ? undefined : held!.value, w);
+        const op = `${by}.${++opNo}`;
+        // An absent value leaves its tail of changes behind: they can still be asked for.
+        const put: Held | null = 'keep' in r ? held : r.held === null ? { value: null, until: 0, ops: [...(held?.ops ?? []), op].slice(-opsKept) } : { ...r.held, ops: [...(held?.ops ?? []), op].slice(-opsKept) };
+        if (!('keep' in r)) tried.set(op, r.result);
         if ('keep' in r && known && known.mark === g.mark && round === 0 && !force) {
           // Nothing is written, so what this proposer remembers has to be confirmed first.
           cache.delete(key);
--- a/packages/keeper/src/store.ts
+++ b/packages/keeper/src/store.ts
@@ -9,8 +9,8 @@
   cmp: (a: Ballot, b: Ballot): number => a[0] - b[0] || (a[1] < b[1] ? -1 : a[1] > b[1] ? 1 : 0),
   max: (a: Ballot, b: Ballot): Ballot => (ballot.cmp(a, b) >= 0 ? a : b),
 };
-/** A register's value; `until` is wall time, after which it counts as absent (§6.4). */
-export type Held = { value: unknown; until: Us };
+/** A register's value; `until` is wall time, after which it counts as absent (§6.4); `ops` names the last changes in it (§6.2). */
+export type Held = { value: unknown; until: Us; ops: string[] };
 export type Copy = { promised: Ballot; accepted: Ballot; held: Held | null; touched: Us };
 export type Keep = { id: string; at: Place };
 export type Group = { mark: number; members: Keep[] };
