--- a/packages/fog/src/fleet.ts
+++ b/packages/fog/src/fleet.ts
@@ -11,6 +11,7 @@
   w: World; shape: Shape; layout: Layout; ledger: Ledger; procs: Proc[]; models: StandIn[]; apps: StandIn[]; callers: Callers; callerLens: Lens;
   platform: Awaited<ReturnType<typeof standIns.platform>>;
   proc: (name: string) => Proc;
+  hostOf: (ip: string) => Host;
   kill: (name: string, how?: 'process' | 'power' | 'disk') => void;
   start: (name: string) => void;
   /** An empty machine at a new address in place of a lost one. */
@@ -73,7 +74,7 @@
       (roles[p.role] as (l: Lens, x: never) => Promise<Node>)(w.lens(p.host), c.value as never).then((node) => { if (p.host.inc === inc) p.node = node; }, (e) => extraBreaches.push(`${p.name} did not start: ${String(e)}`));
     };
     const f: Fleet = {
-      w, shape, layout: lay, ledger: book, procs, models, apps, platform,
+      w, shape, layout: lay, ledger: book, procs, models, apps, platform, hostOf: (ip) => host(ip, 'z1'),
       callers: undefined as unknown as Callers, callerLens: w.lens(host(lay.callers, 'c')),
       proc, expectBreach: extraBreaches,
       kill: (name, how = 'process') => { const p = proc(name); w.kill(p.host, how); p.node = null; },
