--- a/packages/fog/src/guards.ts
+++ b/packages/fog/src/guards.ts
@@ -6,8 +6,8 @@
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
 
-export type Guard = { name: string; rule: string; file: string; find: string; put: string; by: { scenario: string; shape?: 'lautoka' | 'granite'; from?: number; to?: number } | { test: string } };
-const g = (name: string, rule: string, file: string, find: string, put: string, by: Guard['by']): Guard => ({ name, rule, file, find, put, by });
+export type Guard = { name: string; rule: string; file: string; find: string; put: string; also?: [file: string, find: string, put: string][]; by: { scenario: string; shape?: 'lautoka' | 'granite'; from?: number; to?: number } | { test: string } };
+const g = (name: string, rule: string, file: string, find: string, put: string, by: Guard['by'], also: Guard['also'] = []): Guard => ({ name, rule, file, find, put, by, also });
 
 export const guards: Guard[] = [
   g('spent is checked', '1 budget', 'dues/src/index.js', 'if (p.spent >= p.budget)', 'if (false)', { scenario: 'budget' }),
@@ -21,19 +21,22 @@
   g('a refused key stays quiet', '5 not run', 'fairway/src/index.js', 'const refusedQuiet = us.ms(900)', 'const refusedQuiet = 0', { scenario: 'notrun', to: 6 }),
   g('a read needs a majority', '6 kept', 'keeper/src/registers.js', 'const majority = (n) => Math.floor(n / 2) + 1', 'const majority = (n) => 1', { test: 'fog/test/registers.test.js' }),
   g('the keepers\' earliest wall decides', '6 kept', 'keeper/src/registers.js', 'min: Math.min(...a.map((x) => x.wall))', 'min: Math.max(...a.map((x) => x.wall))', { scenario: 'kept', to: 6 }),
-  g('a new group is swept before the next change', '6 kept', 'keeper/src/sweep.js', 'else if (o.all || !same)', 'else if (false)', { scenario: 'kept', to: 6 }),
-  g('an old group mark is refused', '6 kept', 'keeper/src/store.js', 'if (group.mark > m.group.mark)\n                return { ok: false, why: \'group\', group: group };\n            if (!group.members', 'if (!group.members', { test: 'fog/test/registers.test.js' }),
-  g('a leaving worker is not picked', '7 leaving', 'berth/src/index.js', '!w.leaving && !(not?.has(w.id))', '!(not?.has(w.id))', { scenario: 'leaving' }),
-  g('the worker is looked at again before sending', '7 leaving', 'fairway/src/index.js', 'if (!now || now.leaving)', 'if (!now)', { scenario: 'leaving', to: 8 }),
+  g('a new group is swept before the next change', '6 kept', 'keeper/src/sweep.js', 'else if (o.all || !same)', 'else if (false)', { test: 'fog/test/registers.test.js' }),
+  g('an old group mark is refused', '6 kept', 'keeper/src/store.js', 'if (group.mark > m.group.mark)', 'if (false)', { test: 'fog/test/registers.test.js' }),
+  g('a leaving worker is not picked', '7 leaving', 'berth/src/index.js', '!w.leaving && !(not?.has(w.id))', '!(not?.has(w.id))', { test: 'berth/test/berth.test.js' }),
+  g('a leaving worker is neither picked nor sent to', '7 leaving', 'berth/src/index.js', '!w.leaving && !(not?.has(w.id))', '!(not?.has(w.id))', { scenario: 'leaving' }, [['fairway/src/index.js', 'if (!now || now.leaving)', 'if (!now)']]),
+  g('a woken edge refreshes before it sends', '7 leaving', 'fairway/src/index.js', 'if (!mooring.stale())', 'if (true)', { test: 'fog/test/freeze.test.js' }),
   g('a collision is refused', '8 configuration', 'tower/src/order.js', 'if (p.base !== s.config.mark)', 'if (false)', { test: 'fog/test/api.test.js' }),
   g('an older mark never replaces a newer', '8 configuration', 'beam/src/index.js', 'if ((cur && cur.mark >= n.mark) || !o.admits(n.name))', 'if (!o.admits(n.name) || cur?.mark === n.mark)', { test: 'fog/test/parts.test.js' }),
   g('a stale view is refused', '8 configuration', 'tower/src/views.js', 'if (to !== id || v.view < promised)', 'if (to !== id)', { test: 'fog/test/views.test.js' }),
-  g('acknowledged means a majority has it', '9 durable', 'tower/src/views.js', 'const majority = (n) => Math.floor(n / 2) + 1', 'const majority = (n) => 1', { scenario: 'durable', to: 6 }),
+  g('acknowledged means a majority has it', '9 durable', 'tower/src/views.js', 'const majority = (n) => Math.floor(n / 2) + 1', 'const majority = (n) => 1', { test: 'fog/test/views.test.js' }),
   g('synced before the reply', '9 durable', 'keeper/src/store.js', 'await book.write(`reg:${key}`, mark, copy)', 'void book.write(`reg:${key}`, mark, copy)', { test: 'fog/test/registers.test.js' }),
   g('a torn file is recognised', '9 durable', 'logbook/src/index.js', 'if (text !== undefined)', 'if (raw !== undefined)', { test: 'fog/test/parts.test.js' }),
   g('a cut stream is broken off', '10 streams', 'fairway/src/index.js', 'return say.cut();', 'return say.end();', { scenario: 'streams' }),
   g('a stream without its end marker is cut', '10 streams', 'fairway/src/index.js', "throw fault.make({ step: 'relay', sibling: x.worker }, 'the stream ended without its end marker');", "st.go('end'); say.end('id: 999\\ndata: [DONE]\\n\\n'); adm.end(turn, { tokens: null, final: false, worker: null }); return 'done';", { test: 'fog/test/streams.test.js' }),
-  g('the reserve is not lent', '11 urgent', 'berth/src/index.js', 'free -= Math.max(0, Math.ceil(c.reserve * s.slots) - (s.byClass.get(d) ?? 0));', ';', { scenario: 'urgent' }),
+  g('the reserve is not lent', '11 urgent', 'berth/src/index.js', 'free -= Math.max(0, Math.ceil(c.reserve * s.slots) - (s.byClass.get(d) ?? 0));', ';', { test: 'berth/test/berth.test.js' }),
+  g('borrowed shares go back first', '11 urgent', 'berth/src/index.js', 'if (!o.force && mustGiveWay(cls, kind))', 'if (false)', { test: 'berth/test/berth.test.js' }),
+  g('urgent classes have a reserve, priority and their share back', '11 urgent', 'berth/src/index.js', 'if (!o.force && mustGiveWay(cls, kind))', 'if (false)', { scenario: 'urgent' }, [['berth/src/index.js', 'free -= Math.max(0, Math.ceil(c.reserve * s.slots) - (s.byClass.get(d) ?? 0));', ';'], ['berth/src/index.js', 'if (own > 0)', 'if (false)'], ['fairway/src/admission.js', "Number(config?.classes[b]?.urgent ?? false) - Number(config?.classes[a]?.urgent ?? false)", '0']]),
   g('a silent head is replaced', '12 recovery', 'tower/src/views.js', 'silent: us.ms(600)', 'silent: us.s(60)', { scenario: 'closing' }),
   g('a change takes effect once', 'registers', 'keeper/src/registers.js', 'held?.ops.find((x) => tried.has(x))', 'undefined', { test: 'fog/test/registers.test.js' }),
   g('one grant at a time', 'duties', 'watch/src/index.js', 'if (held && g.by !== by)', 'if (false)', { test: 'fog/test/parts.test.js' }),
@@ -66,10 +69,12 @@
   mkdirSync(path.join(dir, 'node_modules', '@thornsail'), { recursive: true });
   for (const e of readdirSync(path.join(root, 'node_modules'))) if (e !== '@thornsail' && !e.startsWith('.')) symlinkSync(path.join(root, 'node_modules', e), path.join(dir, 'node_modules', e));
   for (const p of readdirSync(path.join(dir, 'packages'))) symlinkSync(path.join(dir, 'packages', p), path.join(dir, 'node_modules', '@thornsail', p));
-  const f = path.join(dir, 'packages', gd.file);
-  const text = readFileSync(f, 'utf8');
-  if (!text.includes(gd.find)) { rmSync(dir, { recursive: true, force: true }); throw new Error(`guard "${gd.name}": its line is not in ${gd.file}`); }
-  writeFileSync(f, text.replaceAll(gd.find, gd.put));
+  for (const [file, find, put] of [[gd.file, gd.find, gd.put] as const, ...(gd.also ?? [])]) {
+    const f = path.join(dir, 'packages', file);
+    const text = readFileSync(f, 'utf8');
+    if (!text.includes(find)) { rmSync(dir, { recursive: true, force: true }); throw new Error(`guard "${gd.name}": its line is not in ${file}`); }
+    writeFileSync(f, text.replaceAll(find, put));
+  }
   return dir;
 };
 
--- a/packages/mooring/src/index.ts
+++ b/packages/mooring/src/index.ts
@@ -22,6 +22,8 @@
   deadFor: (id: string) => Us;
   /** True when this process has just been frozen and has not yet refreshed its news (§3.7). */
   stale: () => boolean;
+  /** How often this process was found to have slept. */
+  freezes: () => number;
   refresh: (timeLeft?: Us) => Promise<boolean>;
   onState: (fn: (s: Ordered, mark: number) => void) => void;
   leave: () => Promise<void>;
@@ -43,6 +45,7 @@
     let closed = false;
     let lastTick = clock.now();
     let frozen = false;
+    let slept = 0;
     const marked = (): Marked<Ordered> | undefined => b.get('order')?.value as Marked<Ordered> | undefined;
     const state = (): Ordered | undefined => marked()?.state;
     const live = (): NodeEntry[] => { const s = state(); return s ? order.live(s) : []; };
@@ -119,7 +122,7 @@
     const stops = [
       time.every(clock, us.ms(100), () => {
         const now = clock.now();
-        if (now - lastTick > freezeLimit) { frozen = true; log('woke from a freeze.'); }
+        if (now - lastTick > freezeLimit) { frozen = true; slept += 1; log('woke from a freeze.'); }
         lastTick = now;
         if (frozen) void refresh();
         if (o.beside && now - b.heardAt() > us.ms(800)) besideBad = now + us.s(1);
@@ -151,6 +154,7 @@
       id, beam: b, core, lookout: look, state, marked, inRoster, stale, refresh,
       mark: () => marked()?.seq ?? 0,
       inc: () => inc,
+      freezes: () => slept,
       deadFor: (who) => {
         // One that the roster has forgotten was dead long before.
         const s = state();
