--- a/packages/chart/src/index.ts
+++ b/packages/chart/src/index.ts
@@ -1,5 +1,6 @@
 // chart: what operators configure and what a process is told at its start; both checked, with defaults (§7).
 import * as t from 'io-ts';
+import fastJsonPatch, { type Operation } from 'fast-json-patch';
 import { apply as mergePatch } from 'json-merge-patch';
 import { place, us, type Us } from '@thornsail/lens';
 import { check, match, oneOf, range, sealed, whole, type Problem } from './codec.js';
@@ -72,7 +73,33 @@
 export type FrontOptions = t.TypeOf<typeof optionCodecs.front>;
 export type OptionsOf = { tower: TowerOptions; keeper: KeeperOptions; pilot: PilotOptions; front: FrontOptions };
 
+export type How = 'whole' | 'merge' | 'patch';
+export type Step = { op: string; path: string; before?: unknown; after?: unknown };
+const { applyOperation, compare, getValueByPointer } = fastJsonPatch;
+const valueAt = (doc: unknown, path: string): unknown => { try { return getValueByPointer(doc, path) as unknown; } catch { return undefined; } };
+
 export const chart = {
+  /** The raw configuration that a change makes of its base; JSON Patch (RFC 6902) by library, all of it or nothing. */
+  change: (base: unknown, how: How, body: unknown): Checked<unknown> => {
+    if (how === 'whole') return { ok: true, value: body };
+    if (how === 'merge') return { ok: true, value: chart.merge(base, body) };
+    if (!Array.isArray(body)) return { ok: false, problems: [{ path: '(patch)', text: 'a list of operations is needed' }] };
+    let doc = structuredClone(base ?? {}) as object;
+    for (const [i, op] of (structuredClone(body) as Operation[]).entries()) {
+      try { doc = applyOperation(doc, op, true, false, true, i).newDocument; } catch (e) {
+        return { ok: false, problems: [{ path: `(patch ${i})`, text: String((e as { name?: string }).name ?? e).toLowerCase().replaceAll('_', ' ') }] };
+      }
+    }
+    return { ok: true, value: doc };
+  },
+  /** What a change would do, as steps on the raw configuration, once it is known to be valid. */
+  plan: (base: unknown, how: How, body: unknown): { ok: true; steps: Step[] } | { ok: false; problems: Problem[] } => {
+    const next = chart.change(base, how, body);
+    if (!next.ok) return next;
+    const c = chart.check(next.value);
+    if (!c.ok) return c;
+    return { ok: true, steps: compare((base ?? {}) as object, next.value as object).map((o) => ({ op: o.op, path: o.path, ...(o.op === 'add' ? {} : { before: valueAt(base, o.path) }), ...(o.op === 'remove' ? {} : { after: (o as { value?: unknown }).value }) })) };
+  },
   check: (u: unknown): Checked<Config> => {
     const r = check(configCodec, u);
     if (!r.ok) return r;
--- a/packages/chart/test/chart.test.ts
+++ b/packages/chart/test/chart.test.ts
@@ -39,4 +39,17 @@
   assert.equal(base.classes.a, { weight: 1 });
   assert.equal(patch.classes.a, null);
 });
+test('a JSON Patch is planned before it applies, and applies whole or not at all', () => {
+  const base = { classes: { chat: { kind: 'model', weight: 1 } } };
+  const ok = [{ op: 'replace', path: '/classes/chat/weight', value: 3 }, { op: 'add', path: '/slots', value: { model: 4 } }];
+  assert.equal(chart.plan(base, 'patch', ok), { ok: true, steps: [{ op: 'replace', path: '/classes/chat/weight', before: 1, after: 3 }, { op: 'add', path: '/slots', after: { model: 4 } }] });
+  assert.equal(base, { classes: { chat: { kind: 'model', weight: 1 } } });
+  const bad = (patch: unknown): string => { const r = chart.change(base, 'patch', patch); return r.ok ? '' : r.problems[0]!.path; };
+  assert.is(bad([ok[0], { op: 'remove', path: '/nosuch' }]), '(patch 1)');
+  assert.is(bad([{ op: 'test', path: '/classes/chat/weight', value: 9 }]), '(patch 0)');
+  assert.is(bad({}), '(patch)');
+  assert.is(bad([{ op: 'frobnicate', path: '/x' }]), '(patch 0)');
+  const wrong = chart.plan(base, 'patch', [{ op: 'replace', path: '/classes/chat/weight', value: -1 }]);
+  assert.equal(wrong.ok ? [] : wrong.problems.map((p) => p.path), ['classes.chat.weight']);
+});
 test.run();
--- a/packages/fog/test/api.test.ts
+++ b/packages/fog/test/api.test.ts
@@ -77,6 +77,15 @@
   assert.equal([old.status, old.body['mark']], [409, 1]);
   const push = (): Promise<Reply> => get(f, f.http(f.proc('front-edge7').options['http'] as Place, 'PATCH', `${root}/config`, { slots: { model: 9 } }, { 'if-match': '1', 'push-id': 'same' }));
   assert.equal([(await push()).body['mark'], (await push()).body['repeated']], [2, true]);
+  const json = { 'content-type': 'application/json-patch+json', 'if-match': '2' };
+  const patch = [{ op: 'replace', path: '/slots/model', value: 11 }];
+  const at = f.proc('keeper2').options['http'] as Place;
+  const plan = await get(f, f.http(at, 'PATCH', `${root}/config?plan=true`, patch, json));
+  assert.equal([plan.status, plan.body['plan']], [200, [{ op: 'replace', path: '/slots/model', before: 9, after: 11 }]]);
+  assert.is((await ask('front-edge3', 'config')).body['mark'], 2);
+  assert.equal((await get(f, f.http(at, 'PATCH', `${root}/config`, patch, json))).body['mark'], 3);
+  assert.is((await get(f, f.http(at, 'PATCH', `${root}/config?plan=true`, patch, json))).status, 409);
+  assert.is((await ask('pilot-edge1', 'registers')).status, 200);
   f.cut(['tower1', 'tower2', 'tower3'], f.procs.filter((p) => p.role !== 'tower').map((p) => p.name));
   const r = await ask('front-edge1', 'config');
   assert.equal([r.status, r.body['error']], [503, 'not_agreed']);
--- a/packages/signal/src/index.ts
+++ b/packages/signal/src/index.ts
@@ -35,6 +35,14 @@
 export const signal = {
   handler: (n: SignalNode): HttpHandler => {
     const read = (): Promise<{ seq: number; value: ReadResult }> => n.mooring.core.ask<ReadResult>({ op: 'read' }, us.s(3));
+    /** What a change would do, without doing it (§7.2). */
+    const plan = async (say: HttpSay, how: Push['how'], base: number, body: unknown): Promise<void> => {
+      const { value: { state: s } } = await read();
+      if (base !== s.config.mark) return json(say, 409, { error: 'collision', mark: s.config.mark, message: `the configuration is at mark ${s.config.mark}` });
+      const p = chart.plan(s.config.raw ?? {}, how, body);
+      if (!p.ok) return json(say, 422, { error: 'invalid', mark: s.config.mark, problems: p.problems });
+      return json(say, 200, { mark: s.config.mark, plan: p.steps });
+    };
     const push = async (ask: HttpAsk, say: HttpSay): Promise<void> => {
       if (ask.tooBig) return json(say, 413, { error: 'too_large', field: 'body' });
       let body: unknown;
@@ -43,7 +51,8 @@
       if (base === undefined || !/^\d{1,12}$/.test(base)) return json(say, 428, { error: 'missing_field', field: 'if-match', message: 'the mark that the change is based on' });
       const id = ask.headers['push-id'] ?? n.lens.rand.id();
       if (!/^[\x21-\x7e]{1,100}$/.test(id)) return json(say, 400, { error: 'bad_field', field: 'push-id' });
-      const how: Push['how'] = ask.method === 'PUT' ? 'whole' : 'merge';
+      const how: Push['how'] = ask.method === 'PUT' ? 'whole' : /^application\/json-patch\+json/.test(ask.headers['content-type'] ?? '') ? 'patch' : 'merge';
+      if (ask.query['plan'] === 'true') return await plan(say, how, Number(base), body);
       if (how === 'whole') {
         // Said early where it can be; the towers judge all the same.
         const c = chart.check(body);
@@ -55,12 +64,23 @@
       if (v.why === 'collision') return json(say, 409, { error: 'collision', mark: v.mark, message: `the configuration is at mark ${v.mark}` });
       return json(say, 422, { error: 'invalid', mark: v.mark, problems: v.problems });
     };
-    const programs = async (s: Ordered, after: string, limit: number): Promise<unknown> => {
+    /** A page of keys as the keepers list them, with how many hold the newest copy. */
+    const keysAfter = async (s: Ordered, after: string, limit: number): Promise<{ key: string; accepted: [number, string]; until: number; copies: number }[]> => {
       const group = { mark: s.keepers.mark, members: s.keepers.members };
-      const pages = await Promise.all(group.members.map((k) => n.pipe.ask<{ ok: boolean; keys?: { key: string }[] }>(k.at, 'reg.list', { to: k.id, group, after: after ? `program/${after}` : 'program/', limit }, us.ms(800)).catch(() => undefined)));
+      const pages = await Promise.all(group.members.map((k) => n.pipe.ask<{ ok: boolean; keys?: { key: string; accepted: [number, string]; until: number }[] }>(k.at, 'reg.list', { to: k.id, group, after, limit }, us.ms(800)).catch(() => undefined)));
       const good = pages.filter((p) => p?.ok);
-      if (good.length <= group.members.length / 2) throw fault.make({ step: 'programs', code: 'no-majority' }, 'no majority of keepers was reached');
-      const keys = [...new Set(good.flatMap((p) => p!.keys!.map((k) => k.key)))].filter((k) => k.startsWith('program/')).sort().slice(0, limit);
+      if (good.length <= group.members.length / 2) throw fault.make({ step: 'registers', code: 'no-majority' }, 'no majority of keepers was reached');
+      const byKey = new Map<string, { key: string; accepted: [number, string]; until: number; copies: number }>();
+      for (const p of good) for (const k of p!.keys!) {
+        const was = byKey.get(k.key);
+        const newer = was ? k.accepted[0] - was.accepted[0] || (k.accepted[1] < was.accepted[1] ? -1 : k.accepted[1] > was.accepted[1] ? 1 : 0) : 1;
+        if (newer > 0) byKey.set(k.key, { ...k, copies: 1 });
+        else if (newer === 0) was!.copies += 1;
+      }
+      return [...byKey.values()].sort((a, b) => (a.key < b.key ? -1 : 1)).slice(0, limit);
+    };
+    const programs = async (s: Ordered, after: string, limit: number): Promise<unknown> => {
+      const keys = (await keysAfter(s, after ? `program/${after}` : 'program/', limit)).map((k) => k.key).filter((k) => k.startsWith('program/'));
       const rows = await Promise.all(keys.map(async (k) => ({ program: k.slice(8), purse: await n.registers.read(k, us.s(1)) as Purse | undefined })));
       return rows.filter((r) => r.purse).map((r) => ({ program: r.program, budget: r.purse!.budget, spent: r.purse!.spent, left: dues.left(r.purse!), turns: r.purse!.turns, lost: r.purse!.lost, tokens: r.purse!.tokens, worker: r.purse!.worker, open: r.purse!.open?.by ?? null }));
     };
@@ -101,6 +121,11 @@
           const limit = Math.min(500, Math.max(1, Number(ask.query['limit'] ?? 100) || 100));
           return json(say, 200, { mark: seq, programs: await programs(s, ask.query['after'] ?? '', limit) });
         }
+        case 'registers': {
+          const limit = Math.min(500, Math.max(1, Number(ask.query['limit'] ?? 200) || 200));
+          const rows = await keysAfter(s, ask.query['after'] ?? '', limit);
+          return json(say, 200, { mark: seq, registers: rows.map((r) => ({ key: r.key, kind: r.key.split('/')[0], ballot: r.accepted.join('.'), copies: r.copies, members: s.keepers.members.length, until: r.until })) });
+        }
         case 'status': {
           const live = order.live(s);
           return json(say, 200, {
--- a/packages/thornsail/src/bin.ts
+++ b/packages/thornsail/src/bin.ts
@@ -1,9 +1,11 @@
 #!/usr/bin/env node
 // The command line (§7.4). Exit codes: 0 done, 1 failed, 2 wrong use or settings, 3 collision, 4 no agreed result.
 import { readFileSync } from 'node:fs';
+import { createInterface } from 'node:readline';
 import { stripVTControlCharacters } from 'node:util';
 import { defineCommand, renderUsage, runCommand, type ArgsDef, type CommandDef } from 'citty';
 import { chart, type Role } from '@thornsail/chart';
+import { glass } from '@thornsail/glass';
 import { fault, invariant, real, type Lens } from '@thornsail/lens';
 import { operator } from './operator.js';
 import { roles, type Node } from './roles.js';
@@ -87,13 +89,38 @@
   base: { type: 'string', description: 'the mark that the change is based on (default: the present one)' },
   'push-id': { type: 'string', description: 'repeating a push with the same id has one effect' },
 };
+const fileText = (a: Record<string, unknown>): string => {
+  try {
+    const body = readFileSync(a['file'] === '-' ? 0 : String(a['file']), 'utf8');
+    JSON.parse(body);
+    return body;
+  } catch (e) { return wrongUse(`--file: ${fault.text(e)}`); }
+};
+const checkBase = (a: Record<string, unknown>): void => { if (a['base'] !== undefined && !/^\d+$/.test(String(a['base']))) wrongUse('--base: a whole number is needed'); };
 const pushed = (how: 'PUT' | 'PATCH') => (a: Record<string, unknown>): Promise<number> => {
-  let body = '';
-  try { body = readFileSync(a['file'] === '-' ? 0 : String(a['file']), 'utf8'); JSON.parse(body); } catch (e) { wrongUse(`--file: ${fault.text(e)}`); }
-  if (a['base'] !== undefined && !/^\d+$/.test(String(a['base']))) wrongUse('--base: a whole number is needed');
+  const body = fileText(a);
+  checkBase(a);
   return op.push(String(a['at']), how, body, a['base'] as string | undefined, (a['push-id'] ?? a['pushId']) as string | undefined, a['json'] === true);
 };
 
+const shell = async (where: string, query: string | undefined, json: boolean): Promise<number> => {
+  if (query !== undefined) {
+    if (query === 'help') { out(glass.help()); return 0; }
+    return op.query(where, query, json);
+  }
+  const rl = createInterface({ input: process.stdin, ...(process.stdin.isTTY ? { output: process.stdout } : {}), prompt: 'glass> ' });
+  let code = 0;
+  rl.prompt();
+  for await (const line of rl) {
+    const text = line.trim();
+    if (text === 'quit' || text === 'exit') break;
+    if (text === 'help') out(glass.help());
+    else if (text !== '') code = await op.query(where, text, json) || code;
+    rl.prompt();
+  }
+  rl.close();
+  return code;
+};
 const main = defineCommand({
   meta: { name: 'thornsail', 'version': release, description: 'A serving tier for agent programs.' },
   subCommands: {
@@ -106,9 +133,12 @@
       subCommands: {
         get: operatorCommand('get', 'the agreed configuration', {}, (a) => op.show(String(a['at']), 'config', a['json'] === true)),
         put: operatorCommand('put', 'replace the whole configuration', pushArgs, pushed('PUT')),
+        plan: operatorCommand('plan', 'show what a JSON Patch would change, without changing it', { file: pushArgs['file']! }, (a) => op.plan(String(a['at']), fileText(a), a['json'] === true)),
+        'json-patch': operatorCommand('json-patch', 'change by JSON Patch; the plan is shown first', pushArgs, (a) => { checkBase(a); return op.jsonPatch(String(a['at']), fileText(a), a['base'] as string | undefined, (a['push-id'] ?? a['pushId']) as string | undefined, a['json'] === true); }),
         patch: operatorCommand('patch', 'change a part (JSON Merge Patch)', pushArgs, pushed('PATCH')),
       },
     }),
+    glass: operatorCommand('glass', 'query the fleet\'s state: one query, or a shell without one', { query: { type: 'positional', description: 'a query, quoted', required: false } }, (a) => shell(String(a['at']), a['query'] as string | undefined, a['json'] === true)),
     status: show('status', 'the fleet in short'),
     nodes: show('nodes', 'the roster'),
     workers: show('workers', 'the workers'),
--- a/packages/thornsail/src/operator.ts
+++ b/packages/thornsail/src/operator.ts
@@ -1,11 +1,15 @@
 // Operator commands (§7.3): thin callers of any node's HTTP.
 import { fault, time, us, type HttpCall, type Lens } from '@thornsail/lens';
+import { glass } from '@thornsail/glass';
 import { root } from '@thornsail/signal';
 
 type Reply = { status: number; body: Record<string, unknown> };
 export type Operator = {
   show: (at: string, what: string, json: boolean) => Promise<number>;
   push: (at: string, how: 'PUT' | 'PATCH', body: string, base: string | undefined, id: string | undefined, json: boolean) => Promise<number>;
+  plan: (at: string, body: string, json: boolean) => Promise<number>;
+  jsonPatch: (at: string, body: string, base: string | undefined, id: string | undefined, json: boolean) => Promise<number>;
+  query: (at: string, text: string, json: boolean) => Promise<number>;
   drain: (at: string, node: string, cancel: boolean, wait: boolean, json: boolean) => Promise<number>;
 };
 
@@ -44,6 +48,27 @@
       if (typeof v === 'object' && v !== null) return table(Object.entries(v).map(([name, x]) => ({ name, ...(x as object) })));
       return Object.entries(b).filter(([k]) => k !== 'mark').map(([k, x]) => `${k}: ${typeof x === 'object' ? Object.entries(x as object).map(([a, y]) => `${a} ${String(y)}`).join(', ') : String(x)}`).join('\n');
     };
+    const send = async (at: string, method: string, type: string, body: string, mark: string, id: string | undefined, json: boolean): Promise<number> => {
+      const push = id ?? lens.rand.id();
+      const r = await call({ at, method, path: `${root}/config`, body, headers: { 'content-type': type, 'if-match': mark, 'push-id': push } });
+      if (r.status !== 200) { if (r.status === 503) err(`the outcome is not known: repeat with --base ${mark} --push-id ${push}`); return failed(r, json); }
+      out(json ? JSON.stringify(r.body) : `configuration is at mark ${String(r.body['mark'])}`);
+      return 0;
+    };
+    const planned = async (at: string, body: string, base: string | undefined): Promise<Reply> => {
+      let mark = base;
+      if (mark === undefined) {
+        const now = await call({ at, method: 'GET', path: `${root}/config` });
+        if (now.status !== 200) return now;
+        mark = String(now.body['mark']);
+      }
+      return call({ at, method: 'PATCH', path: `${root}/config?plan=true`, body, headers: { 'content-type': 'application/json-patch+json', 'if-match': mark } });
+    };
+    const planText = (b: Record<string, unknown>): string => {
+      const steps = b['plan'] as { op: string; path: string; before?: unknown; after?: unknown }[];
+      const val = (v: unknown): string => (v === undefined ? '' : JSON.stringify(v));
+      return steps.length === 0 ? 'nothing would change' : steps.map((x) => `${x.op} ${x.path}${x.before === undefined ? '' : ` from ${val(x.before)}`}${x.after === undefined ? '' : ` to ${val(x.after)}`}`).join('\n');
+    };
     return {
       show: (at, what, json) => safely(async () => {
         const r = await call({ at, method: 'GET', path: `${root}/${what}` });
@@ -51,6 +76,40 @@
         out(json ? JSON.stringify(r.body) : `${rows(what, r.body)}\n(read at mark ${String(r.body['mark'])})`);
         return 0;
       }),
+      plan: (at, body, json) => safely(async () => {
+        const r = await planned(at, body, undefined);
+        if (r.status !== 200) return failed(r, json);
+        out(json ? JSON.stringify(r.body) : planText(r.body));
+        return 0;
+      }),
+      jsonPatch: (at, body, base, id, json) => safely(async () => {
+        const p = await planned(at, body, base);
+        if (p.status !== 200) return failed(p, json);
+        if (!json) out(planText(p.body));
+        // The change goes against the mark that its plan was made on: if it moved meanwhile, nothing is applied.
+        return send(at, 'PATCH', 'application/json-patch+json', body, String(p.body['mark']), id, json);
+      }),
+      query: (at, text, json) => safely(async () => {
+        const p = glass.parse(text);
+        if (!p.ok) { err(p.text); return 2; }
+        const table_ = p.query.table;
+        let rowsAll: Record<string, unknown>[] = [];
+        let mark = '';
+        const key = table_ === 'programs' ? 'program' : table_ === 'registers' ? 'key' : null;
+        for (let after = '';;) {
+          const r = await call({ at, method: 'GET', path: `${root}/${table_}${key ? `?limit=200&after=${encodeURIComponent(after)}` : ''}` });
+          if (r.status !== 200) return failed(r, json);
+          const page = glass.rows(table_, r.body);
+          rowsAll = [...rowsAll, ...page];
+          mark = String(r.body['mark']);
+          const last = page[page.length - 1]?.[key ?? ''];
+          if (!key || page.length < 200 || typeof last !== 'string') break;
+          after = last;
+        }
+        const got = glass.run(p.query, rowsAll);
+        out(json ? JSON.stringify({ mark: Number(mark), rows: got }) : `${table(got)}\n(${got.length} of ${rowsAll.length}, read at mark ${mark})`);
+        return 0;
+      }),
       push: (at, how, body, base, id, json) => safely(async () => {
         let mark = base;
         if (mark === undefined) {
@@ -58,11 +117,7 @@
           if (now.status !== 200) return failed(now, json);
           mark = String(now.body['mark']);
         }
-        const push = id ?? lens.rand.id();
-        const r = await call({ at, method: how, path: `${root}/config`, body, headers: { 'content-type': how === 'PUT' ? 'application/json' : 'application/merge-patch+json', 'if-match': mark, 'push-id': push } });
-        if (r.status !== 200) { if (r.status === 503) err(`the outcome is not known: repeat with --base ${mark} --push-id ${push}`); return failed(r, json); }
-        out(json ? JSON.stringify(r.body) : `configuration is at mark ${String(r.body['mark'])}`);
-        return 0;
+        return send(at, how, how === 'PUT' ? 'application/json' : 'application/merge-patch+json', body, mark, id, json);
       }),
       drain: (at, node, cancel, wait, json) => safely(async () => {
         let method = cancel ? 'DELETE' : 'POST';
--- a/packages/tower/src/order.ts
+++ b/packages/tower/src/order.ts
@@ -31,7 +31,9 @@
     const before = s.pushes.find((x) => x.id === p.id);
     if (before) return { state: s, result: { ok: true, mark: before.mark, repeated: true } };
     if (p.base !== s.config.mark) return { state: s, result: { ok: false, why: 'collision', mark: s.config.mark } };
-    const raw = p.how === 'whole' ? p.body : chart.merge(s.config.raw ?? {}, p.body);
+    const next = chart.change(s.config.raw ?? {}, p.how, p.body);
+    if (!next.ok) return { state: s, result: { ok: false, why: 'invalid', mark: s.config.mark, problems: next.problems } };
+    const raw = next.value;
     const c = chart.check(raw);
     if (!c.ok) return { state: s, result: { ok: false, why: 'invalid', mark: s.config.mark, problems: c.problems } };
     const mark = s.config.mark + 1;
