--- a/packages/chart/src/index.ts
+++ b/packages/chart/src/index.ts
@@ -62,7 +62,7 @@
 const common = { zone: 'z1', seeds: [] as string[] };
 const optionCodecs = {
   tower: sealed('tower options', { ...process_, founders: t.array(at) }, { ...common, founders: [] }),
-  keeper: sealed('keeper options', { ...process_, keepers: whole(3, 9) }, { ...common, keepers: 3 }),
+  keeper: sealed('keeper options', process_, common),
   pilot: sealed('pilot options', { place: at, http: at, zone: name, seeds: t.array(at), name, platform: at }, common),
   front: sealed('front options', { place: at, http: at, zone: name, seeds: t.array(at), name, pilot: at }, common),
 };
@@ -119,7 +119,7 @@
   },
   keys: (role: Role): string[] => ({
     tower: ['place', 'http', 'zone', 'seeds', 'name', 'data', 'founders'],
-    keeper: ['place', 'http', 'zone', 'seeds', 'name', 'data', 'keepers'],
+    keeper: ['place', 'http', 'zone', 'seeds', 'name', 'data'],
     pilot: ['place', 'http', 'zone', 'seeds', 'name', 'platform'],
     front: ['place', 'http', 'zone', 'seeds', 'name', 'pilot'],
   })[role],
--- a/packages/fairway/src/admission.ts
+++ b/packages/fairway/src/admission.ts
@@ -41,7 +41,8 @@
 const textOf = async (b: AsyncIterable<string>): Promise<string> => { let s = ''; for await (const p of b) s += p; return s; };
 
 export const admission = {
-  open: (lens: Lens): Admission => {
+  /** `plain` leaves pilotage out, to measure against: every turn goes to the least loaded worker at once. */
+  open: (lens: Lens, plain = false): Admission => {
     const { clock } = lens;
     const log = lens.log('pilotage');
     const st = pilotage.open(pilotage.defaults(), clock.now());
@@ -121,6 +122,7 @@
 
     return {
       turn: (e, onHold) => {
+        if (plain) return { released: Promise.resolve<Released>({ ok: true, worker: null, why: 'ordinary', waited: 0 }), gone: () => undefined };
         let done: (r: Released) => void = () => undefined;
         const released = new Promise<Released>((fin) => { done = fin; });
         waiting.set(e.turn, done);
--- a/packages/fairway/src/index.ts
+++ b/packages/fairway/src/index.ts
@@ -52,11 +52,11 @@
 };
 
 export const fairway = {
-  open: (o: { lens: Lens; pipe: Pipe; mooring: Mooring; pilotId?: () => string | undefined }): Fairway => {
+  open: (o: { lens: Lens; pipe: Pipe; mooring: Mooring; pilotId?: () => string | undefined; plain?: boolean }): Fairway => {
     const { lens, pipe, mooring } = o;
     const { clock } = lens;
     const log = lens.log('fairway');
-    const adm = admission.open(lens);
+    const adm = admission.open(lens, o.plain);
     const me = mooring.id;
     const regs = registers.open({ lens, pipe, by: me, group: () => { const k = mooring.state()?.keepers; return k && k.mark > 0 ? { mark: k.mark, members: k.members } : undefined; } });
     const c: Record<string, number> = { requests: 0, turns: 0, jobs: 0, results: 0, rejected: 0, lost: 0, cut: 0, replayed: 0, budget_rejected: 0, retried: 0, orphaned: 0, refreshed: 0, slow_cut: 0, bad_requests: 0 };
@@ -545,6 +545,7 @@
       const ran = ask.headers['idempotency-key'] === undefined ? 'no' : 'unknown';
       if (!config) return reject(say, 503, 'not_ready', 'no configuration yet', ran, 1);
       if (draining && ask.method === 'POST') return reject(say, 503, 'leaving', 'this node is leaving', ran, 1);
+      if (inFlight.size >= config.scheduler.maxTurns) return reject(say, 503, 'full', 'this node holds as many turns as it may', ran, backoff());
       const p = plans.make(ask, config);
       switch (p.kind) {
         case 'reject': bump('bad_requests'); return json(say, p.status, { error: p.error, field: p.field, message: p.text, ran }, { 'x-thornsail-ran': ran });
--- a/packages/fog/src/fleet.ts
+++ b/packages/fog/src/fleet.ts
@@ -29,7 +29,7 @@
 };
 
 export const fleet = {
-  open: async (o: { seed: number; shape: ShapeName; models?: number; config?: (c: Record<string, unknown>) => Record<string, unknown>; capacity?: number; gap?: Us; strict?: boolean; quiet?: boolean; noConfig?: boolean; log?: (line: string) => void; perToken?: Us }): Promise<Fleet> => {
+  open: async (o: { seed: number; shape: ShapeName; models?: number; config?: (c: Record<string, unknown>) => Record<string, unknown>; capacity?: number; gap?: Us; strict?: boolean; quiet?: boolean; noConfig?: boolean; log?: (line: string) => void; perToken?: Us; plain?: boolean; callAt?: number }): Promise<Fleet> => {
     invariant.clear();
     const shape = { ...shapes[o.shape], ...(o.capacity ? { capacity: o.capacity } : {}), ...(o.models ? { models: o.models } : {}), ...(o.perToken ? { perToken: o.perToken } : {}) };
     const lay = layout(shape);
@@ -71,7 +71,7 @@
       const c = chart.options(p.role, { ...p.options, seeds: p.seeds });
       if (!c.ok) throw new Error(JSON.stringify(c.problems));
       const inc = p.host.inc;
-      (roles[p.role] as (l: Lens, x: never) => Promise<Node>)(w.lens(p.host), c.value as never).then((node) => { if (p.host.inc === inc) p.node = node; }, (e) => extraBreaches.push(`${p.name} did not start: ${String(e)}`));
+      (roles[p.role] as (l: Lens, x: never, extra: object) => Promise<Node>)(w.lens(p.host), c.value as never, { plain: o.plain ?? false }).then((node) => { if (p.host.inc === inc) p.node = node; }, (e) => extraBreaches.push(`${p.name} did not start: ${String(e)}`));
     };
     const f: Fleet = {
       w, shape, layout: lay, ledger: book, procs, models, apps, platform, hostOf: (ip) => host(ip, 'z1'),
@@ -130,7 +130,7 @@
     };
     f.callers = callers.open({
       lens: f.callerLens, rand: f.callerLens.rand, classes: classNames[o.shape], chatTimeLeft: shape.chatTimeLeft, pushTimeLeft: shape.pushTimeLeft, gap: o.gap ?? us.ms(400), strictSilence: o.strict ?? false,
-      fronts: () => { const up = procs.filter((p) => p.role === 'front' && p.host.alive).map((p) => p.options['http'] as string); return up; },
+      fronts: () => { const up = procs.filter((p) => p.role === 'front' && p.host.alive).map((p) => p.options['http'] as string); return up.slice(0, o.callAt ?? up.length); },
     });
     for (const p of procs) boot(p);
     const config = o.config ? o.config(structuredClone(shape.config)) : shape.config;
--- a/packages/fog/test/api.test.ts
+++ b/packages/fog/test/api.test.ts
@@ -91,6 +91,23 @@
   assert.equal([r.status, r.body['error']], [503, 'not_agreed']);
 });
 
+test('a turn whose client has gone is never sent, and its program and budget are free again', async () => {
+  const f = await fleet.open({ seed: 6, shape: 'granite', perToken: us.ms(60), config: (c) => ({ ...c, slots: { model: 1, app: 1 } }) });
+  const at = f.proc('front-edge1').options['http'] as Place;
+  const head = { 'x-thornsail-class': 'diagnose', 'x-thornsail-time-left-ms': '9000' };
+  // Six workers with a slot each are taken; the seventh turn waits, and its client goes.
+  for (let i = 0; i < 6; i++) void f.http(at, 'POST', '/v1/chat/completions', { messages: [{ role: 'user', content: `${i} [last]` }], max_tokens: 40 }, { ...head, 'x-thornsail-program': `p${i}` }).catch(() => undefined);
+  await f.w.run(f.w.now() + us.ms(100));
+  let left = false;
+  void f.callerLens.net.call({ at, method: 'POST', path: '/v1/chat/completions', timeLeft: us.ms(300), headers: { ...head, 'content-type': 'application/json', 'x-thornsail-program': 'gone' }, body: JSON.stringify(say) }).catch(() => { left = true; });
+  await f.w.run(f.w.now() + us.s(12));
+  assert.ok(left);
+  assert.equal(f.ledger.entries.map((e) => e.program).sort(), ['p0', 'p1', 'p2', 'p3', 'p4', 'p5']);
+  const c = f.proc('front-edge1').node!.counts();
+  assert.equal([c['holding'], c['in_flight']], [0, 0]);
+  assert.equal(f.breaches(), []);
+});
+
 test('fronts are not ready before there is a configuration, nor when leaving', async () => {
   const f = await fleet.open({ seed: 5, shape: 'lautoka', noConfig: true });
   await f.w.run(us.s(4));
--- /dev/null
+++ b/packages/fog/test/upgrade.test.ts
@@ -0,0 +1,28 @@
+import { parse, stringify } from 'devalue';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { us } from '@thornsail/lens';
+import { pipe, protocol } from '@thornsail/pipe';
+import { world } from '@thornsail/fog';
+
+test('a sibling that speaks a foreign protocol mark is refused politely, one in range is served', async () => {
+  const w = world.open({ seed: 1, zoneDelay: us.ms(1), clientDelay: us.ms(1), clientIp: 'x' });
+  const lens = w.lens(w.host('127.0.0.1', 'z1'));
+  const p = await pipe.open(lens, '127.0.0.1:1');
+  p.on('echo', (b) => b);
+  const got: { k: string; n: number; b: unknown }[] = [];
+  const frames = await w.lens(w.host('127.0.0.2', 'z1')).net.frames('127.0.0.2:1', (_from, text) => void got.push(parse(text) as { k: string; n: number; b: unknown }));
+  frames.send('127.0.0.1:1', stringify({ p: protocol.mark + 1, k: 'ask', t: 'echo', n: 1, b: 'new' }));
+  frames.send('127.0.0.1:1', stringify({ p: protocol.oldest - 1, k: 'ask', t: 'echo', n: 2, b: 'old' }));
+  frames.send('127.0.0.1:1', stringify({ p: protocol.mark, k: 'ask', t: 'echo', n: 3, b: 'same' }));
+  frames.send('127.0.0.1:1', stringify({ p: protocol.mark, k: 'ask', t: 'nosuch', n: 4, b: 0 }));
+  frames.send('127.0.0.1:1', 'not a frame');
+  await w.run(us.s(1));
+  const by = (n: number): { k: string; b: unknown } => got.find((x) => x.n === n)!;
+  assert.match(String(by(1).b), /protocol mark 2 is not spoken here \(1 to 1\)/);
+  assert.is(by(2).k, 'fault');
+  assert.equal([by(3).k, by(3).b], ['result', 'same']);
+  assert.match(String(by(4).b), /no such message/);
+  assert.is(got.length, 4);
+});
+test.run();
--- a/packages/lens/src/real.ts
+++ b/packages/lens/src/real.ts
@@ -110,6 +110,10 @@
       const mine = s;
       s.on('close', () => { if (out.get(to) === mine) out.delete(to); });
       s.setTimeout(30_000, () => mine.destroy());
+      // One that does not come up keeps no old frames for later.
+      const slow = setTimeout(() => { if (mine.connecting) mine.destroy(); }, 2_000);
+      s.once('connect', () => clearTimeout(slow));
+      s.once('close', () => clearTimeout(slow));
       out.set(to, s);
       write(s, self);
     }
--- a/packages/thornsail/src/bin.ts
+++ b/packages/thornsail/src/bin.ts
@@ -16,7 +16,6 @@
 const release = (JSON.parse(readFileSync(new URL('../package.json', import.meta.url), 'utf8')) as Record<string, string>)['version'] ?? '0';
 
 const lists = new Set(['seeds', 'founders']);
-const numbers = new Set(['keepers']);
 const wrongUse = (text: string): never => { err(text); process.exit(2); };
 
 const flagsOnly = (args: Record<string, unknown>, known: string[]): void => {
@@ -24,7 +23,7 @@
 };
 const describe: Record<string, string> = {
   place: 'address for siblings, ip:port', http: 'address for HTTP, ip:port', zone: 'zone of this machine', seeds: 'three addresses of other processes, comma between',
-  name: 'name of this node', data: 'data folder', founders: 'the three places of the first towers (towers only)', keepers: 'size of the keeper group', platform: 'address of the platform', pilot: 'place of the pilot beside this front',
+  name: 'name of this node', data: 'data folder', founders: 'the three places of the first towers (towers only)', platform: 'address of the platform', pilot: 'place of the pilot beside this front',
 };
 
 const roleCommand = (role: Role, text: string): CommandDef => {
@@ -43,7 +42,7 @@
         if (typeof file !== 'object' || file === null || Array.isArray(file)) wrongUse(`settings file ${a['settings']}: an object is needed`);
       }
       const merged: Record<string, unknown> = { ...(file as Record<string, unknown>) };
-      for (const k of keys) if (a[k] !== undefined) merged[k] = lists.has(k) ? String(a[k]).split(',').filter(Boolean) : numbers.has(k) ? Number(a[k]) : a[k];
+      for (const k of keys) if (a[k] !== undefined) merged[k] = lists.has(k) ? String(a[k]).split(',').filter(Boolean) : a[k];
       const c = chart.options(role, merged);
       if (!c.ok) { for (const p of c.problems) err(`${p.path}: ${p.text}`); process.exit(2); }
       await run(role, c.value as { data?: string });
--- a/packages/thornsail/src/roles.ts
+++ b/packages/thornsail/src/roles.ts
@@ -158,11 +158,11 @@
     });
   },
 
-  front: async (lens: Lens, o: FrontOptions): Promise<Node> => {
+  front: async (lens: Lens, o: FrontOptions, extra: { plain?: boolean } = {}): Promise<Node> => {
     const p = await pipe.open(lens, o.place);
     const id = `front-${lens.rand.id()}`;
     const m = mooring.open({ lens, pipe: p, id, name: o.name, role: 'front', http: o.http, zone: o.zone, seeds: o.seeds, beside: o.pilot });
-    const f = fairway.open({ lens, pipe: p, mooring: m, pilotId: () => { const s = m.state(); return s ? order.live(s, 'pilot').find((x) => x.place === o.pilot)?.id : undefined; } });
+    const f = fairway.open({ lens, pipe: p, mooring: m, ...extra, pilotId: () => { const s = m.state(); return s ? order.live(s, 'pilot').find((x) => x.place === o.pilot)?.id : undefined; } });
     return serve({
       lens, pipe: p, mooring: m, registers: f.registers, role: 'front', name: o.name, http: o.http,
       ready: f.ready, counts: () => ({ ...commonCounts(p, m), ...f.counts() }),
--- a/packages/thornsail/test/cli.test.ts
+++ b/packages/thornsail/test/cli.test.ts
@@ -35,7 +35,7 @@
     [['front', '--settings', path.join(dir, 'absent.json')], /absent\.json/],
     [['tower', '--name', 't', '--place', '127.0.0.1:1', '--http', '127.0.0.1:2', '--data', '/x', '--founders', '127.0.0.1:1,127.0.0.1:9'], /founders/],
     [['keeper', '--name', 'k', '--place', '127.0.0.1:1', '--http', '127.0.0.1:2'], /data: missing/],
-    [['keeper', '--name', 'k', '--place', '127.0.0.1:1', '--http', '127.0.0.1:2', '--data', '/x', '--keepers', 'three'], /keepers/],
+    [['keeper', '--name', 'k', '--place', '127.0.0.1:1', '--http', '127.0.0.1:2', '--data', '/x', '--keepers', 'three'], /--keepers/],
     [['pilot', 'extra'], /extra/],
     [['status'], /--at/],
     [['status', '--at', 'localhost:1'], /--at/],
--- a/packages/tower/src/core.ts
+++ b/packages/tower/src/core.ts
@@ -19,6 +19,13 @@
 export type Core = { views: Views<Ordered>; close: () => void };
 export type CoreTimes = { suspectFor: Us; replaceAfter: Us; keepers: number };
 
+/** Those whose zone holds none yet come first. */
+const spreadOver = (nodes: NodeEntry[], zones: string[]): NodeEntry[] => {
+  const seen = new Set(zones);
+  const first = nodes.filter((n) => !seen.has(n.zone) && seen.add(n.zone) !== undefined);
+  return [...first, ...nodes.filter((n) => !first.includes(n))];
+};
+
 export const core = {
   open: async (o: { lens: Lens; pipe: Pipe; book: Logbook; founders: Place[]; onDone: (v: Marked<Ordered>) => void; news?: () => unknown; times?: Partial<CoreTimes> }): Promise<Core> => {
     const { lens, pipe } = o;
@@ -92,11 +99,12 @@
       const live = order.live(s, 'keeper').filter((n) => n.standing === 'live');
       const member = (n: NodeEntry): { id: string; at: Place } => ({ id: n.id, at: n.place });
       if (k.mark === 0) {
-        if (live.length >= T.keepers) await v.propose((x) => order.firstGroup(x, live.slice(0, T.keepers).map(member)));
+        if (live.length >= T.keepers) await v.propose((x) => order.firstGroup(x, spreadOver(live, []).slice(0, T.keepers).map(member)));
         return;
       }
       if (k.swept !== k.mark) return;
-      const spare = live.find((n) => !k.members.some((m) => m.id === n.id) && !k.draining.includes(n.id));
+      const here = live.filter((n) => k.members.some((m) => m.id === n.id)).map((n) => n.zone);
+      const spare = spreadOver(live.filter((n) => !k.members.some((m) => m.id === n.id) && !k.draining.includes(n.id)), here)[0];
       const lost = k.members.find((m) => goneFor(s, m.id) > T.replaceAfter);
       const leaving = k.members.find((m) => k.draining.includes(m.id) && aliveIn(s, m.id));
       const out = lost ?? leaving;
