--- a/packages/keeper/src/registers.ts
+++ b/packages/keeper/src/registers.ts
@@ -1,5 +1,6 @@
 // The proposer's side of registers (§6.2): one ballot for each change, decided by a majority of the group.
 // There is no leader, so losing a keeper leaves no gap.
+import { LRUMapWithDelete } from 'mnemonist';
 import { fault, lock, time, us, type Lens, type Us } from '@thornsail/lens';
 import type { Pipe } from '@thornsail/pipe';
 import { ballot, type AcceptAsk, type Ballot, type Copy, type Group, type Held, type Keep, type Reply } from './store.js';
@@ -39,12 +40,7 @@
       if (!best) throw fault.make({ step: 'register', code: 'no-majority' }, 'no keeper group is known');
       return best;
     };
-    const cache = new Map<string, Known>();
-    const remember = (key: string, v: Known): void => {
-      cache.delete(key);
-      cache.set(key, v);
-      if (cache.size > 4096) cache.delete(cache.keys().next().value as string);
-    };
+    const cache = new LRUMapWithDelete<string, Known>(4096);
     const short = lock.keyed();
     let opNo = 0;
 
@@ -144,7 +140,7 @@
         const ask: Omit<AcceptAsk, 'to' | 'group' | 'key'> = { ballot: mine, held: put, next };
         const a = await askAll(g, 'reg.accept', key, ask, Math.min(end - clock.now() + us.ms(1), us.ms(400)));
         if (a.ok.length >= majority(g.members.length)) {
-          remember(key, { mark: g.mark, next, held: put, walls: walls(a.ok), at: clock.now() });
+          cache.set(key, { mark: g.mark, next, held: put, walls: walls(a.ok), at: clock.now() });
           mend(g, key, a.late, mine, put);
           return r.result;
         }
