--- a/packages/fairway/src/admission.ts
+++ b/packages/fairway/src/admission.ts
@@ -4,7 +4,7 @@
 import { time, us, type Lens, type Stop, type Us } from '@thornsail/lens';
 import { pilotage, type Effect, type Event, type Options, type State, type Why } from '@thornsail/pilotage';
 
-export type EdgeLoad = { load: Load; tokens: Record<string, number>; paused: number; took: string[] };
+export type EdgeLoad = { load: Load; tokens: Record<string, number>; paused: number; smallest: number | null; took: string[] };
 export type Released = { ok: true; worker: string | null; why: Why; waited: Us } | { ok: false; why: 'turns' | 'programs' | 'busy' | 'gone' };
 export type Slot = { ok: true; worker: WorkerEntry } | { ok: false; why: 'full' | 'late' | 'gone' | 'none' };
 type Wait = { hint: string | null; not: ReadonlySet<string>; done: (s: Slot) => void; until: Us };
@@ -196,7 +196,7 @@
         for (const e of l) for (const [w, n] of Object.entries(e.tokens)) tokens.set(w, (tokens.get(w) ?? 0) + n);
         berths.siblings(l.map((e) => e.load ?? loads.empty()));
         for (const e of l) for (const program of e.took ?? []) step({ kind: 'moved', program });
-        step({ kind: 'siblings', siblings: { tokens, sharers: l.filter((e) => e.paused > 0).length } });
+        step({ kind: 'siblings', siblings: { tokens, sharers: l.filter((e) => e.paused > 0).length, smallest: Math.min(Infinity, ...l.map((e) => e.smallest ?? Infinity)) } });
         pump();
       },
       config: (cfg) => {
--- a/packages/fog/test/registers.test.ts
+++ b/packages/fog/test/registers.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { registers, store, sweep, type Group, type Registers } from '@thornsail/keeper';
+import { registers, store, sweep, type Group, type Registers, type SweepResult } from '@thornsail/keeper';
 import { fault, invariant, us } from '@thornsail/lens';
 import { logbook } from '@thornsail/logbook';
 import { pipe } from '@thornsail/pipe';
@@ -122,36 +122,86 @@
   for (let s = 1; s <= 30; s++) { const h = await history(s, { faults: false, regroup: true }); assert.equal(h.problems, [], `seed ${s}`); assert.ok(h.done > 30); }
 });
 
-test('the sweep brings what a minority of the new group holds onto its majority', async () => {
+/** Keepers by number, one proposer, and a story told in simulated time. */
+const stage = async (seed: number, tell: (x: { w: ReturnType<typeof world.open>; regs: Registers; boot: (i: number) => Promise<void>; hosts: Host[]; group: (mark: number, ids: number[]) => void; pass: (all: boolean) => Promise<SweepResult>; wait: (t: number) => Promise<void> }) => Promise<void>): Promise<void> => {
   invariant.clear();
-  const w = world.open({ seed: 8, zoneDelay: us.ms(1), clientDelay: us.ms(1), clientIp: '127.0.9.9' });
+  const w = world.open({ seed, zoneDelay: us.ms(1), clientDelay: us.ms(1), clientIp: '127.0.9.9' });
   const at = (i: number): string => `127.0.2.${i}:7101`;
   const hosts = [1, 2, 3, 4].map((i) => w.host(`127.0.2.${i}`, 'z1'));
   const boot = async (i: number): Promise<void> => { const lens = w.lens(hosts[i - 1]!); const p = await pipe.open(lens, at(i)); await store.open({ lens, pipe: p, book: await logbook.open(lens.disk), freshId: `k${i}` }); };
-  for (const i of [1, 2, 4]) void boot(i);
-  const members = (ids: number[]): Group['members'] => ids.map((i) => ({ id: `k${i}`, at: at(i) }));
-  let group: Group = { mark: 1, members: members([1, 2, 3]) };
+  let group: Group = { mark: 0, members: [] };
   const lens = w.lens(w.host('127.0.1.1', 'z1'));
   let done = '';
   const story = async (): Promise<void> => {
     const p = await pipe.open(lens, '127.0.1.1:7101');
     const regs = registers.open({ lens, pipe: p, by: 'e', group: () => group });
-    // keeper3 is down while this is written: only 1 and 2 hold it.
-    for (let i = 0; i < 300; i++) await regs.change(`k${i}`, (_v, x) => ({ held: { value: i, until: x.max + us.s(9999) }, result: 0 }));
-    await boot(3);
-    const pass = (): Promise<{ complete: boolean; seen: number }> => sweep.pass({ clock: lens.clock, pipe: p, registers: regs, group, all: true, pause: 0, still: () => true });
-    group = { mark: 2, members: members([1, 2, 3, 4]) };
-    const a = await pass();
-    group = { mark: 3, members: members([2, 3, 4]) };
-    const b = await pass();
-    assert.ok(a.complete && b.complete && a.seen === 300 && b.seen === 300);
-    w.kill(hosts[0]!, 'disk');
-    w.kill(hosts[1]!, 'disk');
-    for (let i = 0; i < 300; i++) assert.is(await regs.read(`k${i}`, us.s(2)), i);
+    await tell({
+      w, regs, boot, hosts, group: (mark, ids) => { group = { mark, members: ids.map((i) => ({ id: `k${i}`, at: at(i) })) }; },
+      pass: (all) => sweep.pass({ clock: lens.clock, pipe: p, registers: regs, group, all, pause: 0, still: () => true }),
+      wait: (t) => new Promise((fin) => { w.at(w.now() + t, fin); }),
+    });
     done = 'yes';
   };
   story().catch((e) => { done = String(e); });
-  await w.run(us.s(60));
+  await w.run(us.s(5000));
   assert.is(done, 'yes');
-});
+  assert.equal(invariant.breaches(), []);
+};
+
+test('the sweep brings what a minority of the new group holds onto its majority', () => stage(8, async ({ w, regs, boot, hosts, group, pass }) => {
+  // keeper3 is down while this is written: only 1 and 2 hold it.
+  for (const i of [1, 2, 4]) await boot(i);
+  group(1, [1, 2, 3]);
+  for (let i = 0; i < 300; i++) await regs.change(`k${i}`, (_v, x) => ({ held: { value: i, until: x.max + us.s(9999) }, result: 0 }));
+  await boot(3);
+  group(2, [1, 2, 3, 4]);
+  const a = await pass(true);
+  group(3, [2, 3, 4]);
+  const b = await pass(true);
+  assert.ok(a.complete && b.complete && a.seen === 300 && b.seen === 300);
+  w.kill(hosts[0]!, 'disk');
+  w.kill(hosts[1]!, 'disk');
+  for (let i = 0; i < 300; i++) assert.is(await regs.read(`k${i}`, us.s(2)), i);
+}));
+
+test('a sweep lists only ranges that differ, mends them, and then finds nothing', () => stage(9, async ({ w, regs, boot, hosts, group, pass, wait }) => {
+  for (const i of [1, 2, 3]) await boot(i);
+  group(1, [1, 2, 3]);
+  const write = (k: string): Promise<number> => regs.change(k, (_v, x) => ({ held: { value: k, until: x.max + us.s(99_999) }, result: 0 }));
+  for (let i = 0; i < 200; i++) await write(`k${i}`);
+  await wait(us.s(1));
+  assert.equal(await pass(false).then((r) => [r.complete, r.ranges, r.seen]), [true, 0, 0]);
+  w.kill(hosts[2]!, 'power');
+  for (let i = 0; i < 3; i++) await write(`late${i}`);
+  w.start(hosts[2]!);
+  await boot(3);
+  const r = await pass(false);
+  assert.ok(r.complete && r.ranges >= 1 && r.ranges <= 3 && r.mended === 3, JSON.stringify(r));
+  await wait(us.s(1));
+  assert.is((await pass(false)).ranges, 0);
+  w.kill(hosts[0]!, 'disk');
+  for (let i = 0; i < 3; i++) assert.is(await regs.read(`late${i}`, us.s(2)), `late${i}`);
+}));
+
+test('an expired register is absent, is dropped only when every keeper holds the same, and does not come back', () => stage(10, async ({ w, regs, boot, hosts, group, pass, wait }) => {
+  for (const i of [1, 2, 3]) await boot(i);
+  group(1, [1, 2, 3]);
+  const write = (v: string, keep: number): Promise<number> => regs.change('k', (_v, x) => ({ held: { value: v, until: x.max + keep }, result: 0 }));
+  await write('old', us.s(3000));
+  await wait(us.s(1));
+  // keeper3 misses the last value, which expires first.
+  w.kill(hosts[2]!, 'power');
+  await write('new', us.s(10));
+  await wait(us.s(700));
+  assert.is(await regs.read('k'), undefined);
+  assert.is((await pass(false)).purged, 0, 'dropped while a keeper with an older copy was away');
+  w.start(hosts[2]!);
+  await boot(3);
+  assert.is(await regs.read('k', us.s(2)), undefined);
+  await pass(false);
+  await wait(us.s(700));
+  assert.is((await pass(false)).purged, 1);
+  assert.is(await regs.read('k', us.s(2)), undefined);
+  for (const h of hosts.slice(0, 3)) assert.not.ok([...h.files.keys()].some((f) => f.startsWith('reg%3Ak.')), 'a copy is left on disk');
+}));
 test.run();
--- a/packages/keeper/src/store.ts
+++ b/packages/keeper/src/store.ts
@@ -1,5 +1,5 @@
 // The keeper's side of registers (§6.2): promises and accepted values, each synced before its reply.
-import { invariant, lock, us, type Lens, type Place, type Us } from '@thornsail/lens';
+import { hash, invariant, lock, us, type Lens, type Place, type Us } from '@thornsail/lens';
 import type { Logbook } from '@thornsail/logbook';
 import type { Pipe } from '@thornsail/pipe';
 
@@ -25,6 +25,11 @@
   | { ok: false; why: 'identity' };
 export type ListResult = { ok: true; keys: { key: string; accepted: Ballot; until: Us; touched: Us }[]; next: string | null; wall: Us } | { ok: false; group: Group | null };
 
+/** Keys fall into ranges by their hash; the sweep compares a digest of each before it lists any (§6.5). */
+export const ranges = 64;
+export const rangeOf = (key: string): number => hash.of(key) % ranges;
+export type DigestResult = { ok: true; digests: number[]; due: boolean[]; wall: Us } | { ok: false; group: Group | null };
+
 export type Store = {
   id: string;
   group: () => Group | undefined;
@@ -122,9 +127,21 @@
       return { ok: true, copy: next, wall: lens.clock.wall() };
     }));
     /** A page of keys in order, for the sweep. Learning the group first is what fences older marks (§6.5). */
-    pipe.on<{ to: string; group: Group; after: string; limit: number }>('reg.list', async (m): Promise<ListResult> => {
+    pipe.on<{ to: string; group: Group }>('reg.digest', async (m): Promise<DigestResult> => {
+      if (await guard({ ...m, key: '' })) return { ok: false, group: group ?? null };
+      const digests = new Array<number>(ranges).fill(0);
+      const due = new Array<boolean>(ranges).fill(false);
+      const wall = lens.clock.wall();
+      for (const [key, { copy }] of copies) {
+        const r = rangeOf(key);
+        digests[r] = (digests[r]! + hash.of(`${key} ${copy.accepted.join(' ')}`)) >>> 0;
+        if (Math.max(copy.touched, copy.held?.until ?? 0) + grace < wall) due[r] = true;
+      }
+      return { ok: true, digests, due, wall };
+    });
+    pipe.on<{ to: string; group: Group; after: string; limit: number; range?: number }>('reg.list', async (m): Promise<ListResult> => {
       if (await guard({ ...m, key: '' })) return { ok: false, group: group ?? null };
-      const keys = [...copies.keys()].filter((k) => k > m.after).sort();
+      const keys = [...copies.keys()].filter((k) => k > m.after && (m.range === undefined || rangeOf(k) === m.range)).sort();
       const page = keys.slice(0, m.limit);
       return {
         ok: true, wall: lens.clock.wall(), next: keys.length > m.limit ? page[page.length - 1]! : null,
--- a/packages/keeper/src/sweep.ts
+++ b/packages/keeper/src/sweep.ts
@@ -3,22 +3,41 @@
 import { time, us, type Clock, type Us } from '@thornsail/lens';
 import type { Pipe } from '@thornsail/pipe';
 import type { Registers } from './registers.js';
-import { ballot, grace, type Group, type ListResult } from './store.js';
+import { ballot, grace, ranges, type DigestResult, type Group, type ListResult } from './store.js';
 
-export type SweepResult = { complete: boolean; mark: number; seen: number; mended: number; purged: number };
+export type SweepResult = { complete: boolean; mark: number; seen: number; mended: number; purged: number; ranges: number };
 const majority = (n: number): number => Math.floor(n / 2) + 1;
 
 export const sweep = {
-  /** One pass over all keys. `all` settles every key (after a group change); otherwise only those whose copies differ. */
+  /**
+   * One pass. `all` settles every key (after a group change). Otherwise the keepers' digests are compared range by range,
+   * and only what differs or may be dropped is listed.
+   */
   pass: async (o: { clock: Clock; pipe: Pipe; registers: Registers; group: Group; all: boolean; pause: Us; still: () => boolean; progress?: (seen: number) => void }): Promise<SweepResult> => {
     const { clock, pipe, registers, group } = o;
-    const r: SweepResult = { complete: false, mark: group.mark, seen: 0, mended: 0, purged: 0 };
+    const r: SweepResult = { complete: false, mark: group.mark, seen: 0, mended: 0, purged: 0, ranges: 0 };
+    const need = majority(group.members.length);
+    const todo: (number | undefined)[] = [];
+    if (o.all) todo.push(undefined);
+    else {
+      const got = await Promise.all(group.members.map((k) => pipe.ask<DigestResult>(k.at, 'reg.digest', { to: k.id, group }, us.ms(800)).catch(() => undefined)));
+      const good = got.flatMap((d) => (d?.ok ? [d] : []));
+      if (good.length < need) return r;
+      for (let i = 0; i < ranges; i++) {
+        const differs = good.some((d) => d.digests[i] !== good[0]!.digests[i]);
+        const due = good.length === group.members.length && good.every((d) => d.due[i]);
+        if (differs || due) todo.push(i);
+      }
+    }
+    r.ranges = todo.length;
+    let range = todo.shift();
     let after = '';
     const limit = 128;
+    if (!o.all && range === undefined) { r.complete = true; return r; }
     while (o.still()) {
-      const pages = await Promise.all(group.members.map((k) => pipe.ask<ListResult>(k.at, 'reg.list', { to: k.id, group, after, limit }, us.ms(800)).then((l) => ({ k, l }), () => undefined)));
+      const pages = await Promise.all(group.members.map((k) => pipe.ask<ListResult>(k.at, 'reg.list', { to: k.id, group, after, limit, ...(range === undefined ? {} : { range }) }, us.ms(800)).then((l) => ({ k, l }), () => undefined)));
       const good = pages.flatMap((p) => (p?.l.ok ? [{ k: p.k, l: p.l }] : []));
-      if (good.length < majority(group.members.length)) return r;
+      if (good.length < need) return r;
       // Keys beyond the shortest full page are left for the next one.
       const ends = good.map((g) => g.l.next).filter((n): n is string => n !== null);
       const end = ends.length ? ends.reduce((a, b) => (a < b ? a : b)) : null;
@@ -40,8 +59,10 @@
         o.progress?.(r.seen);
         if (o.pause > 0) await time.sleep(clock, o.pause);
       }
-      if (end === null) { r.complete = true; return r; }
-      after = end;
+      if (end !== null) { after = end; continue; }
+      range = todo.shift();
+      after = '';
+      if (range === undefined) { r.complete = true; return r; }
     }
     return r;
   },
--- a/packages/pilotage/src/index.ts
+++ b/packages/pilotage/src/index.ts
@@ -20,8 +20,8 @@
 };
 export type Held = { turn: string; program: string; since: Us; forceAt: Us };
 export type Worker = { id: string; capacity: number; eligible: boolean };
-/** What the siblings say about a worker: tokens of their active programs, and how many hold paused ones. */
-export type Sibling = { tokens: Map<string, number>; sharers: number };
+/** What the siblings say: tokens of their active programs by worker, how many of them hold paused ones, and the smallest of those. */
+export type Sibling = { tokens: Map<string, number>; sharers: number; smallest: number };
 export type State = {
   options: Options; programs: Map<string, Program>; held: Map<string, Held>; running: Map<string, string>;
   workers: Map<string, Worker>; siblings: Sibling; lastTick: Us;
@@ -116,21 +116,25 @@
   const mine = own(s);
   const active = new Map<string, number>();
   for (const p of s.programs.values()) if (counts(p)) active.set(p.worker!, (active.get(p.worker!) ?? 0) + 1);
-  const rooms: { id: string; room: number }[] = [];
+  const rooms: { id: string; room: number; share: number }[] = [];
   for (const w of eligible(s)) {
     if (utilization(s, w, mine) > pauseThreshold - resumeHysteresis) continue;
     const used = (mine.get(w.id) ?? 0) + (s.siblings.tokens.get(w.id) ?? 0) + (active.get(w.id) ?? 0) * headroom;
-    // Only this edge's share of the room: the siblings that hold paused programs take the rest (§4.4).
-    rooms.push({ id: w.id, room: (w.capacity * pauseThreshold - used) / (1 + s.siblings.sharers) });
+    const room = w.capacity * pauseThreshold - used;
+    // Smallest first holds over all edges: the edge with the smallest paused program may use all the room.
+    // For its larger ones, as for the other edges, it is one share among those that hold paused programs (§4.4).
+    rooms.push({ id: w.id, room, share: room / (1 + s.siblings.sharers) });
   }
   const out: Effect[] = [];
   const held = heldByProgram(s);
   for (const p of paused) {
     const need = p.tokens + headroom;
-    let best: { id: string; room: number } | undefined;
-    for (const r of rooms) if (r.room >= need && (best === undefined || r.room < best.room)) best = r;
+    const first = p.tokens < s.siblings.smallest;
+    let best: { id: string; room: number; share: number } | undefined;
+    for (const r of rooms) if ((first ? r.room : r.share) >= need && (best === undefined || r.room < best.room)) best = r;
     if (!best) break;
     best.room -= need;
+    best.share = Math.min(best.share - (first ? 0 : need), best.room);
     p.standing = 'active';
     p.worker = best.id;
     p.touched = now;
@@ -286,7 +290,7 @@
     actingTokenWeight: 1, actingHalfLife: us.s(1), headroom: 100, maxTurns: 10_000, maxPrograms: 10_000, holdLimit: us.ms(1500), resumeOnRoom: true,
   }),
   open: (options: Options, now: Us): State => ({
-    options, programs: new Map(), held: new Map(), running: new Map(), workers: new Map(), siblings: { tokens: new Map(), sharers: 0 }, lastTick: now,
+    options, programs: new Map(), held: new Map(), running: new Map(), workers: new Map(), siblings: { tokens: new Map(), sharers: 0, smallest: Infinity }, lastTick: now,
     counts: { arrived: 0, released: 0, held: 0, resumed: 0, forced: 0, rejected: 0, paused: 0, marked: 0, ended: 0, expired: 0, moved: 0, repacked: 0 },
   }),
   step: (s: State, e: Event, now: Us): { state: State; effects: Effect[] } => {
@@ -330,11 +334,15 @@
     for (const h of s.held.values()) if (at === undefined || h.forceAt < at) at = h.forceAt;
     return at;
   },
-  /** For the siblings: own tokens on each worker, and whether any program here is paused. */
-  totals: (s: State): { tokens: Record<string, number>; paused: number } => {
+  /** For the siblings: own tokens on each worker, how many programs here are paused, and the smallest of them. */
+  totals: (s: State): { tokens: Record<string, number>; paused: number; smallest: number | null } => {
     let paused = 0;
-    for (const p of s.programs.values()) if (p.standing === 'paused') paused += 1;
-    return { tokens: Object.fromEntries(own(s)), paused };
+    let smallest: number | null = null;
+    for (const p of s.programs.values()) if (p.standing === 'paused') {
+      paused += 1;
+      if (smallest === null || p.tokens < smallest) smallest = p.tokens;
+    }
+    return { tokens: Object.fromEntries(own(s)), paused, smallest };
   },
   /** What must hold between events (§9.1); the tests' random load calls it after each. */
   check: (s: State): void => {
--- a/packages/pilotage/test/pilotage.test.ts
+++ b/packages/pilotage/test/pilotage.test.ts
@@ -53,6 +53,19 @@
   assert.equal(tick(full, us.s(10)).map((x) => x.kind), [], '500 of 1000 leaves 350 of room: 480 does not fit');
 });
 
+test('among edges the smallest paused program has the room; the others take a share of it', () => {
+  const resumed = (smallest: number): string[] => {
+    const s = open({ resumeOnRoom: false }, [{ id: 'a', capacity: 2000, eligible: true }]);
+    for (const [id, n] of [['x', 200], ['y', 500]] as const) { arrive(s, `t-${id}`, id, n, 0); end(s, `t-${id}`, n, 1); s.programs.get(id)!.standing = 'paused'; }
+    // 900 of the threshold's 1900 are the siblings', three of whom hold paused programs: room 1000, a share 250.
+    pilotage.step(s, { kind: 'siblings', siblings: { tokens: new Map([['a', 900]]), sharers: 3, smallest } }, 2);
+    return tick(s, us.s(5)).flatMap((e) => (e.kind === 'resumed' ? [e.program] : []));
+  };
+  assert.equal(resumed(100), [], 'a sibling has a smaller one, and 300 does not fit a share of 250');
+  assert.equal(resumed(300), ['x'], 'the smallest of all may use the room, the next one only a share');
+  assert.equal(resumed(1000), ['x', 'y']);
+});
+
 test('forces a held turn through before two seconds, never rejects it for want of room', () => {
   const s = open({ resumeOnRoom: false });
   arrive(s, 't1', 'p1', 500, 0); end(s, 't1', 500, 1);
@@ -119,7 +132,7 @@
       else if (k < 0.75 && running.length) { const t = running.splice(r.int(running.length), 1)[0]!; see(end(s, t, 50 + r.int(500), now, r.next() < 0.2)); }
       else if (k < 0.8 && open_.size) { const t = [...open_.keys()][r.int(open_.size)]!; open_.delete(t); see(pilotage.step(s, { kind: 'gone', turn: t }, now).effects); }
       else if (k < 0.85) see(tick(s, now));
-      else if (k < 0.9) see(pilotage.step(s, { kind: 'siblings', siblings: { tokens: new Map([['a', r.int(2500)]]), sharers: r.int(3) } }, now).effects);
+      else if (k < 0.9) see(pilotage.step(s, { kind: 'siblings', siblings: { tokens: new Map([['a', r.int(2500)]]), sharers: r.int(3), smallest: r.int(500) } }, now).effects);
       else if (k < 0.93) see(pilotage.step(s, { kind: 'workers', list: workers.map((w) => ({ ...w, eligible: r.next() < 0.8 })) }, now).effects);
       see(pilotage.step(s, { kind: 'due' }, now).effects);
     }
--- a/packages/thornsail/src/roles.ts
+++ b/packages/thornsail/src/roles.ts
@@ -70,6 +70,7 @@
     });
     o.counts['sweeps'] = (o.counts['sweeps'] ?? 0) + 1;
     o.counts['swept_keys'] = (o.counts['swept_keys'] ?? 0) + r.seen;
+    o.counts['swept_ranges'] = (o.counts['swept_ranges'] ?? 0) + r.ranges;
     o.counts['swept_mended'] = (o.counts['swept_mended'] ?? 0) + r.mended;
     if (!r.complete) return;
     lastFull = lens.clock.now();
