--- /dev/null
+++ b/packages/fairway/src/say.ts
@@ -0,0 +1,40 @@
+// Results that are not a worker's stream (§4.3, §5.4).
+import type { HttpSay, Rand } from '@thornsail/lens';
+
+export type Ran = 'no' | 'unknown';
+export type Say = {
+  json: (say: HttpSay, status: number, body: unknown, headers?: Record<string, string>) => void;
+  /** The final answer of a turn that is given up, at once, with when to come back (§4.3). */
+  reject: (say: HttpSay, status: number, error: string, text: string, ran: Ran, retryAfter: number | null) => void;
+  /** Whole seconds, spread out so that those refused together do not come back together. */
+  backoff: () => number;
+};
+
+export const completion = {
+  whole: (content: string, finish: string | null, toolCalls: unknown[], prompt: number, count: number): unknown => ({
+    object: 'chat.completion', choices: [{ index: 0, message: { role: 'assistant', content, ...(toolCalls.length ? { tool_calls: toolCalls } : {}) }, finish_reason: finish }],
+    usage: { prompt_tokens: prompt, completion_tokens: count, total_tokens: prompt + count },
+  }),
+  chunk: (content: string, finish: string | null, prompt: number, count: number): unknown => ({
+    object: 'chat.completion.chunk', choices: [{ index: 0, delta: { role: 'assistant', content }, finish_reason: finish }],
+    usage: { prompt_tokens: prompt, completion_tokens: count, total_tokens: prompt + count },
+  }),
+};
+
+export const saying = {
+  open: (o: { rand: Rand; bump: (k: string) => void }): Say => {
+    const json: Say['json'] = (say, status, body, headers = {}) => {
+      if (say.gone()) return;
+      say.head(status, { 'content-type': 'application/json', ...headers });
+      say.end(JSON.stringify(body));
+    };
+    return {
+      json,
+      reject: (say, status, error, text, ran, retryAfter) => {
+        o.bump('rejected');
+        json(say, status, { error, message: text, ran }, { 'x-thornsail-ran': ran, ...(retryAfter === null ? {} : { 'retry-after': String(retryAfter) }) });
+      },
+      backoff: () => 1 + o.rand.int(3),
+    };
+  },
+};
