A replayed chat turn no longer counts as open for ever

Cause: the front's set of open turns was cleared by the path that refuses and by the path that runs, not by the one that replays. A front that had replayed one result would not have ended its drain. Ruled out: jobs (cleared in all paths). Seen failing: api.test, in_flight 1 after one replay; 0 now.

--- a/packages/fairway/src/chat.ts
+++ b/packages/fairway/src/chat.ts
@@ -22,16 +22,18 @@
   let charged = false;
   let inTable = false;
   let at: string | null = null;
+  let closing = false;
   inFlight.add(first);
   /** Gives the turn up before anything was sent: the result goes out first, the books follow. */
   const no = (status: number, error: string, text: string, retryAfter: number | null, ran: Ran = st.ran()): void => {
     st.go('reject');
     if (inTable) { inTable = false; adm.end(turn, { tokens: null, final: false, worker: null }); }
-    const closing = (async (): Promise<void> => {
+    closing = true;
+    const closed = (async (): Promise<void> => {
       if (charged) await books.giveBack(p, turn);
       if (claimed) await books.unclaim(p, first);
     })();
-    void closing.finally(() => inFlight.delete(first));
+    void closed.finally(() => inFlight.delete(first));
     x.say.reject(say, status, error, text, ran, retryAfter);
   };
   try {
@@ -155,7 +157,7 @@
       } finally { adm.leave(s.worker.id, p.cls, took); }
     }
   } finally {
-    if (st.now() !== 'rejected') inFlight.delete(first);
+    if (!closing) inFlight.delete(first);
     inFlight.delete(turn === first ? '' : turn);
     if (inTable) adm.end(turn, { tokens: null, final: false, worker: at });
   }
--- a/packages/fog/test/api.test.ts
+++ b/packages/fog/test/api.test.ts
@@ -52,6 +52,8 @@
   const b = await get(f, f.http(f.proc('front-edge5').options['http'] as Place, 'POST', '/v1/chat/completions', { ...say, stream: false }, { ...good, ...key }));
   assert.equal([b.status, b.headers['x-thornsail-replayed'], b.body['choices']], [200, 'true', a.body['choices']]);
   assert.is(f.ledger.entries.length, 1);
+  await f.w.run(f.w.now() + us.s(1));
+  for (const n of ['front-edge1', 'front-edge5']) assert.is(f.proc(n).node!.counts()['in_flight'], 0, `${n} still counts a turn as open`);
   let spent = a;
   for (let i = 0; i < 6 && spent.status === 200; i++) spent = await chat(f, good, { ...say, stream: false });
   assert.equal([spent.status, spent.body['error'], spent.body['ran']], [403, 'budget_spent', 'no']);
