A duty that is left is taken over sooner; storms of faults over a rough network

Cause: a candidate that lost a ballot waited for the whole term of the winner, so a duty that its holder left early stayed vacant. Change: it looks again within 1.2 s. One more ballot message per candidate, voter and second. Also: the simulator loses frames and lets them overtake; scenario storm; fleet defaults that show holds.

--- a/packages/fog/src/scenarios.ts
+++ b/packages/fog/src/scenarios.ts
@@ -440,6 +440,41 @@
     },
   },
 
+  storm: {
+    rule: 'many faults of any kind, one after another, under a heavier load and a rough network',
+    run: async (seed, shape, log) => {
+      const f = await fleet.open({ seed, shape, log, capacity: shape === 'lautoka' ? 900 : 2000, config: patch({ '*model': { budgetTokens: 1500 } }) });
+      const r = f.w.rand;
+      f.w.rough(0.01 + r.next() * 0.04, us.ms(5));
+      for (const m of f.models) { m.faults.dieMidStream = 0.03; m.faults.loseResult = 0.02; }
+      for (const a of f.apps) a.faults.loseResult = 0.05;
+      const l = f.load({ chats: 150, kept: 20, jobs: 150, over: us.s(24) });
+      const until = f.w.now() + us.s(24);
+      let lostDisk = false;
+      while (f.w.now() < until) {
+        await run(f, us.ms(300) + r.int(us.ms(1200)));
+        const all = f.procs.map((p) => p.name);
+        const p = f.proc(all[r.int(all.length)]!);
+        const k = r.int(6);
+        // One machine with a disk at a time, as promised; edges as they come.
+        const core = f.procs.filter((x) => x.role === 'tower' || x.role === 'keeper');
+        const calm = core.every((x) => x.host.alive && !x.host.frozen);
+        const isCore = p.role === 'tower' || p.role === 'keeper';
+        if (isCore && !calm) continue;
+        if (k <= 1 && p.host.alive) { f.kill(p.name, 'power'); f.w.at(f.w.now() + r.int(us.s(2)), () => f.start(p.name)); }
+        else if (k === 2 && p.host.alive && !p.host.frozen) f.freeze(p.name, us.ms(200) + r.int(us.s(3)));
+        else if (k === 3) { const heal = f.cut([p.name], all.filter((x) => x !== p.name && r.int(2) === 0)); f.w.at(f.w.now() + r.int(us.s(3)), heal); }
+        else if (k === 4 && !lostDisk && calm) { lostDisk = true; const x = core[r.int(core.length)]!; f.kill(x.name, 'disk'); f.w.at(f.w.now() + r.int(us.s(1)), () => f.start(x.name)); }
+        else if (k === 5) void f.push({ ...f.shape.config, limits: { onceKeepSeconds: 1000 + r.int(9000) } }, 1 + r.int(3), `s${f.w.now()}`, frontAt(f, r.int(7))).catch(() => undefined);
+      }
+      f.w.rough(0, 0);
+      await run(f, us.s(4));
+      const back = await serving(f, us.s(12));
+      await settleLoad(f, l);
+      return finish(f, { back_ms: us.toMs(back) });
+    },
+  },
+
   random: {
     rule: 'two faults of any kind in one run',
     run: async (seed, shape, log) => {
@@ -455,6 +490,8 @@
         () => { const a = all.filter(() => r.int(2) === 0); const b = all.filter((x) => !a.includes(x)); const heal = f.cut(a, b); f.w.at(f.w.now() + r.int(us.s(4)), heal); },
         () => { const k = [...keepers, ...towers][r.int(6)]!; if (disks.size === 0 && f.proc(k).host.alive) { disks.add(k); f.kill(k, 'disk'); f.w.at(f.w.now() + r.int(us.s(2)), () => f.start(k)); } },
         () => f.platform.leave(f.layout.workers[r.int(f.layout.workers.length)]!.id),
+        () => { f.w.rough(r.next() * 0.2, r.int(us.ms(30))); f.w.at(f.w.now() + us.s(3), () => f.w.rough(0, 0)); },
+        () => { f.proc(some()).host.skew = (r.int(2) === 0 ? 1 : -1) * us.s(r.int(10_000_000)); },
         () => { f.w.slow(us.ms(r.int(60))); f.w.at(f.w.now() + us.s(3), () => f.w.slow(0)); },
         () => void f.push({ ...f.shape.config, slots: { model: 8 + r.int(8), app: 16 } }, 1, 'r', frontAt(f, r.int(7))).catch(() => undefined),
       ];
--- a/packages/fog/src/world.ts
+++ b/packages/fog/src/world.ts
@@ -22,6 +22,8 @@
   /** Cuts all traffic between two sets of hosts; returns how to heal it. */
   cut: (a: Host[], b: Host[]) => () => void;
   slow: (by: Us) => void;
+  /** Frames between nodes get lost with this chance, and overtake one another by up to `jumble`. */
+  rough: (loss: number, jumble: Us) => void;
   logs: (fn: (at: Us, ip: string, part: string, text: string) => void) => void;
 };
 const base = 1_790_000_000_000_000;
@@ -36,6 +38,8 @@
     let events = 0;
     const c = { syncs: 0, frames: 0, http: 0 };
     let extra = 0;
+    let loss = 0;
+    let jumble = 0;
     let logger: (at: Us, ip: string, part: string, text: string) => void = () => undefined;
     const hosts = new Map<string, Host>();
     const cuts = new Set<{ a: Set<Host>; b: Set<Host> }>();
@@ -102,8 +106,9 @@
             const t = hostOf(to);
             if (!t || h.inc !== inc || !h.alive) return;
             c.frames += 1;
-            if (severed(h, t)) return;
-            deliver(h, t, () => {
+            if (severed(h, t) || (loss > 0 && rand.next() < loss)) return;
+            const send = jumble > 0 ? (fn: () => void): void => void later(delay(h, t) + rand.int(jumble), t, fn) : (fn: () => void): void => deliver(h, t, fn);
+            send(() => {
               if (severed(h, t)) return;
               fold(text.length > 64 ? text.slice(0, 64) : text);
               t.frames.get(to)?.(at, text);
@@ -305,6 +310,7 @@
         return () => void cuts.delete(x);
       },
       slow: (by) => { extra = by; },
+      rough: (l, j) => { loss = l; jumble = j; },
       logs: (fn) => { logger = fn; },
     };
   },
--- a/packages/roadstead/src/fleet-cli.ts
+++ b/packages/roadstead/src/fleet-cli.ts
@@ -1,22 +1,23 @@
-// npm run fleet -- --shape lautoka|granite [--seed N] [--chats N] [--kept N] [--jobs N] [--seconds N] [--faults kill,freeze,disk,config,leave]
+// The stand-in workers are small (--capacity, in tokens), so that programs are paused and turns are held.
+// npm run fleet -- --shape lautoka|granite [--seed N] [--capacity N] [--chats N] [--kept N] [--jobs N] [--seconds N] [--faults kill,freeze,disk,config,leave]
 import { time, us } from '@thornsail/lens';
 import { realFleet } from './fleet.js';
 import type { ShapeName } from './shapes.js';
 
 const out = (t: string): void => void process.stdout.write(`${t}\n`);
 const wrong = (t: string): never => { process.stderr.write(`fleet: ${t}\n`); process.exit(2); };
-const given: Record<string, string> = { shape: 'lautoka', seed: '1', chats: '60', kept: '8', jobs: '80', seconds: '8', faults: '', capacity: '' };
+const given: Record<string, string> = { shape: 'lautoka', seed: '1', chats: '160', kept: '16', jobs: '80', seconds: '14', faults: '', capacity: '' };
 for (let i = 2; i < process.argv.length; i += 2) {
   const k = process.argv[i]!.replace(/^--/, '');
   if (!Object.hasOwn(given, k) || process.argv[i + 1] === undefined) wrong(`unknown or incomplete flag ${process.argv[i]}`);
   given[k] = process.argv[i + 1]!;
 }
 if (given['shape'] !== 'lautoka' && given['shape'] !== 'granite') wrong('--shape: lautoka or granite');
-for (const k of ['seed', 'chats', 'kept', 'jobs', 'seconds']) if (!/^\d+$/.test(given[k]!)) wrong(`--${k}: a whole number is needed`);
+for (const k of ['seed', 'chats', 'kept', 'jobs', 'seconds', 'capacity']) if (!/^\d+$/.test(given[k]!) && !(k === 'capacity' && given[k] === '')) wrong(`--${k}: a whole number is needed`);
 const faults = given['faults']!.split(',').filter(Boolean);
 for (const x of faults) if (!['kill', 'freeze', 'disk', 'config', 'leave', 'tower'].includes(x)) wrong(`--faults: no fault ${x}`);
 
-const f = await realFleet.open({ shape: given['shape'] as ShapeName, seed: Number(given['seed']), say: out, ...(given['capacity'] ? { capacity: Number(given['capacity']) } : {}) });
+const f = await realFleet.open({ shape: given['shape'] as ShapeName, seed: Number(given['seed']), say: out, capacity: Number(given['capacity'] || (given['shape'] === 'lautoka' ? 500 : 1000)) });
 let code = 1;
 try {
   out(`fleet of ${f.procs.length} processes is ready (${given['shape']}).`);
--- a/packages/watch/src/index.ts
+++ b/packages/watch/src/index.ts
@@ -62,7 +62,8 @@
       if (yes > 0 && !held) for (const [i, r] of got.entries()) if (r?.ok) pipe.tell(voters[i]!, 'watch.leave', { duty: o.name, by: o.by });
       const other = got.find((r) => r && r.by !== null && r.by !== o.by);
       if (other) vacantSince = clock.now() + other.left;
-      waitUntil = clock.now() + Math.min(term, other?.left ?? 0) + rand.int(us.ms(300));
+      // Looked at again well before the grant can run out: its holder may leave earlier.
+      waitUntil = clock.now() + Math.min(us.ms(800), other?.left ?? 0) + rand.int(us.ms(400));
     };
     const stop = time.every(clock, us.ms(300), round);
     return {
