--- a/eslint.config.js
+++ b/eslint.config.js
@@ -12,7 +12,7 @@
 export default [
   { ignores: ['**/*.js', '**/*.d.ts'] },
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'examples/*.ts'],
     languageOptions: { parser, parserOptions: { project: './tsconfig.json' } },
     plugins: { '@typescript-eslint': plugin },
     rules: {
--- a/packages/fog/src/fleet.ts
+++ b/packages/fog/src/fleet.ts
@@ -16,6 +16,8 @@
   start: (name: string) => void;
   /** An empty machine at a new address in place of a lost one. */
   replace: (name: string, as: string, ip: string) => void;
+  /** One more machine. */
+  addKeeper: (name: string, ip: string) => void;
   freeze: (name: string, forUs: Us) => void;
   cut: (a: string[], b: string[]) => () => void;
   http: (at: Place, method: string, path: string, body?: unknown, headers?: Record<string, string>) => Promise<{ status: number; body: Record<string, unknown>; headers: Record<string, string> }>;
@@ -87,6 +89,7 @@
         proc(as).seeds = p.seeds;
         boot(proc(as));
       },
+      addKeeper: (name, ip) => { add(name, 'keeper', ip, 'z1', { place: `${ip}:${ports.sibling}`, http: `${ip}:${ports.http}`, data: 'data' }); boot(proc(name)); },
       freeze: (name, forUs) => { const h = proc(name).host; w.freeze(h); w.at(w.now() + forUs, () => w.wake(h)); },
       cut: (a, b) => w.cut(a.map((x) => proc(x).host), b.map((x) => proc(x).host)),
       http: async (at, method, path, body, headers = {}) => {
--- a/packages/fog/src/measure-cli.ts
+++ b/packages/fog/src/measure-cli.ts
@@ -41,23 +41,24 @@
   const add = (k: Exclude<keyof Day, 'waits'>): number => all.reduce((a, d) => a + d[k], 0);
   return { turns: add('turns'), prompt: add('prompt'), reprefilled: add('reprefilled'), held: add('held'), resumed: add('resumed'), forced: add('forced'), rejected: add('rejected'), gaveUp: add('gaveUp'), over: add('over') / all.length, worst: Math.max(...all.map((d) => d.worst)), waits: all.flatMap((d) => d.waits) };
 };
+const moderate: Record<ShapeName, { capacity: number; chats: number }> = { lautoka: { capacity: 1500, chats: 260 }, granite: { capacity: 3400, chats: 260 } };
 const load: Record<ShapeName, { capacity: number; chats: number }> = { lautoka: { capacity: 700, chats: 260 }, granite: { capacity: 1500, chats: 260 } };
 
 const parts: Record<string, () => Promise<void>> = {
   ...Object.fromEntries((['lautoka', 'granite'] as const).map((shape) => [`scheduler-${shape}`, async () => {
     out(`\n### Scheduler against a plain least-loaded lane, ${shape} (simulated, ${seeds.length} seeds, same seeds)\n`);
-    head('shape', 'lane', 'turns', 'prompt tokens re-prefilled', 'of all', 'held', 'resumed', 'forced', 'rejected', 'gave up', 'first piece p50 ms', 'p95 ms', 'worker-samples over capacity');
-    for (const [name, o] of [['least loaded', { plain: true }], ['programs, affinity only (no pause)', { scheduler: { pauseThreshold: 1, pauseTarget: 1, resumeHysteresis: 0, intervalSeconds: 600 } }], ['programs, tick 5 s only', { scheduler: { resumeOnRoom: false } }], ['programs, tick 5 s and resume on room', {}], ['programs, tick 1 s only', { scheduler: { intervalSeconds: 1, resumeOnRoom: false } }], ['programs, tick 1 s and resume on room', { scheduler: { intervalSeconds: 1 } }]] as const) {
-      const d = await days(shape, { ...load[shape], ...o });
-      row(shape, name, d.turns, d.reprefilled, `${((100 * d.reprefilled) / d.prompt).toFixed(1)}%`, d.held, d.resumed, d.forced, d.rejected, d.gaveUp, us.toMs(pct(d.waits, 0.5)), us.toMs(pct(d.waits, 0.95)), 'plain' in o ? 'not counted' : `${(100 * d.over).toFixed(2)}%`);
+    head('load', 'lane', 'turns', 'prompt tokens re-prefilled', 'of all', 'held', 'resumed', 'forced', 'rejected', 'gave up', 'first piece p50 ms', 'p95 ms', 'worker-samples over capacity');
+    for (const [level, at] of [['moderate', moderate[shape]], ['heavy', load[shape]]] as const) for (const [name, o] of [['least loaded', { plain: true }], ['programs, affinity only (no pause)', { scheduler: { pauseThreshold: 1, pauseTarget: 1, resumeHysteresis: 0, intervalSeconds: 600 } }], ['programs, tick 5 s only', { scheduler: { resumeOnRoom: false } }], ['programs, tick 5 s and resume on room', {}], ['programs, tick 1 s only', { scheduler: { intervalSeconds: 1, resumeOnRoom: false } }]] as const) {
+      const d = await days(shape, { ...at, ...o });
+      row(level, name, d.turns, d.reprefilled, `${((100 * d.reprefilled) / d.prompt).toFixed(1)}%`, d.held, d.resumed, d.forced, d.rejected, d.gaveUp, us.toMs(pct(d.waits, 0.5)), us.toMs(pct(d.waits, 0.95)), 'plain' in o ? 'not counted' : `${(100 * d.over).toFixed(2)}%`);
     }
   }])),
   ...Object.fromEntries((['lautoka', 'granite'] as const).map((shape) => [`edges-${shape}`, async () => {
     out(`\n### Several edges on the same workers against one edge, ${shape} (simulated, ${seeds.length} seeds)\n`);
-    head('shape', 'edges taking calls', 'turns', 'held', 'forced', 'worker-samples over capacity', 'worst utilization');
-    for (const n of [1, 3, 7]) {
-      const d = await days(shape, { ...load[shape], callAt: n });
-      row(shape, n, d.turns, d.held, d.forced, `${(100 * d.over).toFixed(2)}%`, d.worst.toFixed(2));
+    head('load', 'edges taking calls', 'turns', 'held', 'forced', 'worker-samples over capacity', 'worst utilization');
+    for (const [name, o] of [['1', { callAt: 1 }], ['3', { callAt: 3 }], ['7', { callAt: 7 }], ['7, least used exactly', { callAt: 7, scheduler: { nearlyEqual: 0 } }]] as const) for (const [level, at] of [['moderate', moderate[shape]], ['heavy', load[shape]]] as const) {
+      const d = await days(shape, { ...at, ...o });
+      row(level, name, d.turns, d.held, d.forced, `${(100 * d.over).toFixed(2)}%`, d.worst.toFixed(2));
     }
   }])),
   turns: async () => {
@@ -172,6 +173,25 @@
     }
   },
 };
+parts['headloss'] = async () => {
+  out('\n### A push just after the head of the towers was killed (simulated, 20 seeds)\n');
+  head('shape', 'acknowledged after, mean ms', 'worst ms');
+  for (const shape of ['lautoka', 'granite'] as const) {
+    const took: number[] = [];
+    for (let seed = 1; seed <= 20; seed++) {
+      const f = await fleet.open({ seed, shape });
+      await f.w.run(f.w.now() + us.ms(w100(f)));
+      f.kill(f.procs.find((p) => p.role === 'tower' && p.node?.counts()['leads'] === 1)!.name, 'power');
+      const begun = f.w.now();
+      let got = -1;
+      void f.push({ ...f.shape.config, limits: { onceKeepSeconds: 1001 } }, 1, 'x').then((r) => { got = r.status; }, () => { got = 0; });
+      while (got < 0) await f.w.run(f.w.now() + us.ms(5));
+      if (got === 200) took.push(us.toMs(f.w.now() - begun)); else out(`seed ${seed}: ${got}`);
+    }
+    row(shape, Math.round(mean(took)), Math.max(...took));
+  }
+};
+const w100 = (f: Fleet): number => f.w.rand.int(100);
 parts['duties'] = async () => {
   out('\n### Vacancy of a duty (simulated, 3 voters, 4 candidates, 20 seeds, 5 losses each)\n');
   head('how the holder goes', 'vacant, mean ms', 'worst ms');
--- a/packages/fog/test/api.test.ts
+++ b/packages/fog/test/api.test.ts
@@ -93,6 +93,26 @@
   assert.equal([r.status, r.body['error']], [503, 'not_agreed']);
 });
 
+test('a drain can be taken back, asked again and repeated; with a spare the group stays at three', async () => {
+  const f = await fleet.open({ seed: 8, shape: 'granite' });
+  const ask = (method: string): Promise<Reply> => get(f, f.http(f.proc('pilot-edge2').options['http'] as Place, method, `${root}/drain/keeper3`));
+  const group = (): { mark: number; members: { at: string }[]; swept: number; draining: string[] } => f.proc('pilot-edge2').node!.mooring.state()!.keepers;
+  f.addKeeper('keeper7', '127.77.2.7');
+  await f.until('the spare in the roster', () => Object.values(f.proc('pilot-edge2').node!.mooring.state()!.roster).some((n) => n.name === 'keeper7'), us.s(10));
+  assert.is((await ask('GET')).body['state'], 'not draining');
+  assert.is((await ask('POST')).body['safe'], false);
+  assert.is((await ask('DELETE')).body['state'], 'not draining');
+  assert.is(group().draining.length, 0);
+  await ask('POST');
+  await ask('POST');
+  let safe = false;
+  for (let i = 0; i < 60 && !safe; i++) { safe = (await ask('GET')).body['safe'] === true; await f.w.run(f.w.now() + us.ms(250)); }
+  assert.ok(safe);
+  assert.equal([group().members.length, group().members.some((m) => m.at.startsWith('127.77.2.7')), group().members.some((m) => m.at.startsWith('127.77.2.3'))], [3, true, false]);
+  assert.equal((await get(f, f.http(f.proc('pilot-edge2').options['http'] as Place, 'POST', `${root}/drain/nosuch`))).status, 404);
+  assert.equal((await get(f, f.http(f.proc('pilot-edge2').options['http'] as Place, 'POST', `${root}/drain/tower1`))).status, 400);
+});
+
 test('a turn whose client has gone is never sent, and its program and budget are free again', async () => {
   const f = await fleet.open({ seed: 6, shape: 'granite', perToken: us.ms(60), config: (c) => ({ ...c, slots: { model: 1, app: 1 } }) });
   const at = f.proc('front-edge1').options['http'] as Place;
--- a/packages/fog/test/streams.test.ts
+++ b/packages/fog/test/streams.test.ts
@@ -66,4 +66,34 @@
   assert.equal([purse!.spent, purse!.open], [12, null]);
   assert.is(f.proc('front-edge1').node!.counts()['slow_cut'], 1);
 });
+test('an edge killed in the middle of streams costs its own and no others', async () => {
+  const f = await fleet.open({ seed: 6, shape: 'granite', perToken: us.ms(40) });
+  const ended = new Map<string, 'clean' | 'cut'>();
+  for (const [i, name] of ['front-edge1', 'front-edge2', 'front-edge3', 'front-edge4'].entries()) {
+    const read = async (): Promise<void> => {
+      let text = '';
+      try {
+        const r = await f.callerLens.net.call({ at: f.proc(name).options['http'] as Place, method: 'POST', path: '/v1/chat/completions', headers: { 'content-type': 'application/json', 'x-thornsail-program': `p${i}`, 'x-thornsail-class': 'diagnose' }, body, timeLeft: us.s(4) });
+        for await (const p of r.body) text += p;
+        ended.set(name, text.includes('[DONE]') ? 'clean' : 'cut');
+      } catch { ended.set(name, 'cut'); }
+    };
+    void read();
+  }
+  await f.w.run(f.w.now() + us.ms(300));
+  f.kill('front-edge2', 'power');
+  await f.until('the streams to end', () => ended.size === 4, us.s(30));
+  assert.equal(Object.fromEntries([...ended].sort()), { 'front-edge1': 'clean', 'front-edge2': 'cut', 'front-edge3': 'clean', 'front-edge4': 'clean' });
+  // The program of the lost turn is served by another edge once the roster has the first one dead; its turn stays charged.
+  let again: number | undefined;
+  const end = f.w.now() + us.s(10);
+  while (again !== 200 && f.w.now() < end) {
+    let r: { status: number } | undefined;
+    void f.http(f.proc('front-edge5').options['http'] as Place, 'POST', '/v1/chat/completions', { messages: [{ role: 'user', content: 'more [last]' }], max_tokens: 8, stream: false }, { 'x-thornsail-program': 'p1', 'x-thornsail-class': 'diagnose' }).then((x) => { r = x; }, () => { r = { status: 0 }; });
+    await f.until('a result', () => r !== undefined, us.s(10));
+    again = r!.status;
+  }
+  assert.is(again, 200);
+  assert.equal(f.breaches(), []);
+});
 test.run();
--- a/packages/lens/src/real.ts
+++ b/packages/lens/src/real.ts
@@ -235,5 +235,6 @@
 
 export const real = {
   lens: (folder: string): Lens => ({ clock, rand, disk: disk(folder), net: { frames, serve, call }, log: logs }),
-  clock, rand, disk,
+  /** What a daemon says unless DEBUG says otherwise: all parts but the one that speaks for each program. */
+  logsByDefault: (): void => { if (process.env['DEBUG'] === undefined) debug.enable('thornsail:*,-thornsail:pilotage'); },
 };
--- a/packages/pipe/src/index.ts
+++ b/packages/pipe/src/index.ts
@@ -6,7 +6,6 @@
 export const protocol = { mark: 1, oldest: 1 };
 
 type Frame = { p: number; k: 'tell' | 'ask' | 'result' | 'fault'; t: string; n: number; b: unknown };
-export type Handler = (body: never, from: Place) => unknown;
 export type Pipe = {
   at: Place;
   tell: (to: Place, kind: string, body: unknown) => void;
--- a/packages/thornsail/src/bin.ts
+++ b/packages/thornsail/src/bin.ts
@@ -51,6 +51,7 @@
 };
 
 const run = async (role: Role, options: { data?: string }): Promise<void> => {
+  real.logsByDefault();
   const lens = real.lens(options.data ?? '/nonexistent');
   const node = await (roles[role] as (l: Lens, o: never) => Promise<Node>)(lens, options as never);
   out(`${role} listens at http ${node.http}, siblings ${node.place}`);
--- a/packages/tower/src/core.ts
+++ b/packages/tower/src/core.ts
@@ -111,10 +111,10 @@
       const want = T.keepers + (out ? 1 : 0);
       if (spare && k.members.length < want) {
         log(`keeper ${spare.name} joins the group.`);
-        await v.propose((x) => order.regroup(x, { add: member(spare), why: 'join' }));
+        await v.propose((x) => order.regroup(x, { add: member(spare) }));
       } else if (out && (k.members.length > T.keepers || (leaving === out && k.members.length === 3))) {
         log(`keeper ${out.id} leaves the group.`);
-        await v.propose((x) => order.regroup(x, { remove: out.id, why: lost ? 'replace' : 'drain' }));
+        await v.propose((x) => order.regroup(x, { remove: out.id }));
       }
     };
     /** Tower group: an empty newcomer is added (its state comes with the order), then the lost one is taken out. */
--- a/packages/tower/src/order.ts
+++ b/packages/tower/src/order.ts
@@ -5,7 +5,7 @@
 
 export type NodeRole = 'tower' | 'keeper' | 'pilot' | 'front';
 export type NodeEntry = { id: string; name: string; role: NodeRole; place: Place; http: Place; zone: string; inc: number; standing: 'live' | 'leaving' | 'dead'; since: Us };
-export type GroupChange = { add?: Member; remove?: string; why: 'replace' | 'drain' | 'join' };
+export type GroupChange = { add: Member } | { remove: string };
 export type KeeperGroup = { mark: number; members: Member[]; swept: number; draining: string[] };
 export type Ordered = {
   config: { mark: number; raw: unknown; value: Config | null };
@@ -64,9 +64,9 @@
     const k = s.keepers;
     if (k.mark !== 0 && k.swept !== k.mark) return { state: s, result: false };
     let members = k.members;
-    if (c.add && !members.some((m) => m.id === c.add!.id)) members = [...members, c.add];
-    else if (c.remove && members.some((m) => m.id === c.remove)) members = members.filter((m) => m.id !== c.remove);
-    else return { state: s, result: false };
+    const has = (id: string): boolean => members.some((m) => m.id === id);
+    if ('add' in c ? has(c.add.id) : !has(c.remove)) return { state: s, result: false };
+    members = 'add' in c ? [...members, c.add] : members.filter((m) => m.id !== c.remove);
     invariant.hold(Math.abs(members.length - k.members.length) === 1, 'a keeper group changes by one');
     invariant.hold(members.length >= 2 || k.members.length < 2, 'a keeper group never falls to one');
     return { state: { ...s, keepers: { ...k, mark: k.mark + 1, members } }, result: true };
