A broken pipe ends its asks at once; the core is asked again after 0.5 s

Cause: an ask to a node that had ended waited for its whole limit, 0.9 s for reads and 1.8 s for pushes, before another tower was tried; the simulator hid the harder case by refusing connections for machines without power, which in truth answer nothing. Ruled out: the view change itself (a new view is open 0.9 to 1.2 s after the loss). Change: the net says when a pipe broke, and its asks end with their outcome unknown; each round to the core has 0.5 s (pushes have an id, so asking twice has one effect); fog keeps silent for a machine that lost power.

--- a/packages/fog/src/world.ts
+++ b/packages/fog/src/world.ts
@@ -4,9 +4,9 @@
 
 type Ev = { at: Us; n: number; host: Host | null; inc: number; fn: () => void };
 export type Host = {
-  ip: string; zone: string; alive: boolean; inc: number; frozen: boolean; late: Ev[];
+  ip: string; zone: string; alive: boolean; dark: boolean; inc: number; frozen: boolean; late: Ev[];
   files: Map<string, string>; pending: Map<number, { name: string; text: string | null }>; skew: Us;
-  frames: Map<Place, (from: Place, text: string) => void>; http: Map<Place, HttpHandler>;
+  frames: Map<Place, { got: (from: Place, text: string) => void; down: (to: Place) => void; to: Set<Place> }>; http: Map<Place, HttpHandler>;
   open: Set<() => void>;
 };
 export type World = {
@@ -96,9 +96,10 @@
     const hostOf = (p: Place): Host | undefined => hosts.get(place.host(p));
 
     const netOf = (h: Host): Net => ({
-      frames: async (at, onFrame): Promise<Frames> => {
+      frames: async (at, onFrame, onDown): Promise<Frames> => {
         if (h.frames.has(at)) throw fault.make({ step: 'frames.bind', sibling: at }, 'address in use');
-        h.frames.set(at, onFrame);
+        const mine = { got: onFrame, down: onDown ?? ((): void => undefined), to: new Set<Place>() };
+        h.frames.set(at, mine);
         const inc = h.inc;
         return {
           at,
@@ -106,12 +107,15 @@
             const t = hostOf(to);
             if (!t || h.inc !== inc || !h.alive) return;
             c.frames += 1;
+            mine.to.add(to);
+            // Nobody listens there: the pipe does not come up. (A cut is silent.)
+            if (!t.frames.has(to) && !t.dark && !severed(h, t)) { later(delay(h, t) * 2, h, () => mine.down(to)); return; }
             if (severed(h, t) || (loss > 0 && rand.next() < loss)) return;
             const send = jumble > 0 ? (fn: () => void): void => void later(delay(h, t) + rand.int(jumble), t, fn) : (fn: () => void): void => deliver(h, t, fn);
             send(() => {
               if (severed(h, t)) return;
               fold(text.length > 64 ? text.slice(0, 64) : text);
-              t.frames.get(to)?.(at, text);
+              t.frames.get(to)?.got(at, text);
             });
           },
           close: async () => { if (h.inc === inc) h.frames.delete(at); },
@@ -219,7 +223,7 @@
           fold(`${req.method}${req.path}`);
           Promise.resolve().then(() => handler(ask, say)).catch(() => say.cut());
         });
-        if (!t.alive) later(delay(h, t) * 2, h, rejectCall);
+        if (!t.alive && !t.dark) later(delay(h, t) * 2, h, rejectCall);
       }),
     });
 
@@ -246,7 +250,7 @@
     return {
       rand, now: () => now, hash: () => trace.toString(16), events: () => events, syncs: () => c.syncs, frames: () => c.frames, httpCalls: () => c.http,
       host: (ip, zone) => {
-        const h: Host = { ip, zone, alive: true, inc: 1, frozen: false, late: [], files: new Map(), pending: new Map(), skew: 0, frames: new Map(), http: new Map(), open: new Set() };
+        const h: Host = { ip, zone, alive: true, dark: false, inc: 1, frozen: false, late: [], files: new Map(), pending: new Map(), skew: 0, frames: new Map(), http: new Map(), open: new Set() };
         hosts.set(ip, h);
         return h;
       },
@@ -281,21 +285,25 @@
       },
       at: (at, fn) => { later(at - now, null, fn); },
       kill: (h, how) => {
+        // Pipes to a process that ended break; after a loss of power nobody is there to say so.
+        if (how === 'process') for (const place_ of h.frames.keys()) for (const o2 of hosts.values()) for (const f of o2.frames.values()) if (o2 !== h && f.to.has(place_) && !severed(o2, h)) later(delay(h, o2), o2, () => f.down(place_));
         h.alive = false;
+        h.dark = how !== 'process';
         h.inc += 1;
         h.frozen = false;
         h.late = [];
         h.frames.clear();
         h.http.clear();
+        // A process that ends breaks its pipes; without power they just fall silent, until somebody asks the machine again.
         const open = [...h.open];
         h.open.clear();
-        for (const f of open) f();
+        if (how === 'process') for (const f of open) f();
         // What was on its way to the disk is lost, or had just arrived.
         for (const p of h.pending.values()) if (how === 'process' ? rand.int(2) === 0 : rand.int(4) === 0) { if (p.text !== null) h.files.set(p.name, p.text); }
         h.pending.clear();
         if (how === 'disk') h.files.clear();
       },
-      start: (h) => { h.alive = true; },
+      start: (h) => { h.alive = true; h.dark = false; },
       freeze: (h) => { h.frozen = true; },
       wake: (h) => {
         h.frozen = false;
--- a/packages/lens/src/index.ts
+++ b/packages/lens/src/index.ts
@@ -64,7 +64,8 @@
 };
 export type HttpResult = { status: number; headers: Record<string, string>; body: AsyncIterable<string>; cut: () => void };
 export type Net = {
-  frames: (at: Place, onFrame: (from: Place, text: string) => void) => Promise<Frames>;
+  /** `onDown` says that the pipe to a sibling broke or did not come up: what was sent may or may not have arrived. */
+  frames: (at: Place, onFrame: (from: Place, text: string) => void, onDown?: (to: Place) => void) => Promise<Frames>;
   serve: (at: Place, handler: HttpHandler, maxBody: number) => Promise<{ at: Place; close: () => Promise<void> }>;
   call: (c: HttpCall) => Promise<HttpResult>;
 };
--- a/packages/lens/src/real.ts
+++ b/packages/lens/src/real.ts
@@ -65,7 +65,7 @@
 const maxBuffered = 8 << 20;
 
 /** One TCP pipe each way between two places; frames are length-prefixed, the first names the sender (§3.1). */
-const frames: Net['frames'] = (at, onFrame) => new Promise((done, fail) => {
+const frames: Net['frames'] = (at, onFrame, onDown) => new Promise((done, fail) => {
   const out = new Map<Place, net.Socket>();
   const inn = new Set<net.Socket>();
   const write = (s: net.Socket, text: string): void => {
@@ -75,6 +75,7 @@
     s.cork(); s.write(h); s.write(b); s.uncork();
   };
   let self: Place = at;
+  let closing = false;
   const server = net.createServer((s) => {
     inn.add(s);
     s.setNoDelay(true);
@@ -108,7 +109,7 @@
       s.setNoDelay(true);
       s.on('error', () => undefined);
       const mine = s;
-      s.on('close', () => { if (out.get(to) === mine) out.delete(to); });
+      s.on('close', () => { if (out.get(to) === mine) out.delete(to); if (!closing) onDown?.(to); });
       s.setTimeout(30_000, () => mine.destroy());
       // One that does not come up keeps no old frames for later.
       const slow = setTimeout(() => { if (mine.connecting) mine.destroy(); }, 2_000);
@@ -126,6 +127,7 @@
     done({
       at: self, send,
       close: () => new Promise((fin) => {
+        closing = true;
         for (const s of [...out.values(), ...inn]) s.destroy();
         server.close(() => fin());
       }),
--- a/packages/pipe/src/index.ts
+++ b/packages/pipe/src/index.ts
@@ -55,7 +55,14 @@
       if (f.k === 'tell') { run.catch((e) => log(`${f.t} from ${from} failed: ${fault.text(e)}.`)); return; }
       run.then((b) => send(from, { k: 'result', t: f.t, n: f.n, b }), (e) => send(from, { k: 'fault', t: f.t, n: f.n, b: fault.text(e) }));
     };
-    const frames = await lens.net.frames(at, got);
+    /** A broken pipe ends the asks that went over it at once, with their outcome unknown, instead of at their limit. */
+    const down = (to: Place): void => {
+      for (const [id, w] of open) if (w.to === to) {
+        open.delete(id);
+        w.fail(fault.make({ step: w.kind, sibling: to, code: 'down' }, 'the pipe broke'));
+      }
+    };
+    const frames = await lens.net.frames(at, got, down);
     return {
       at: frames.at,
       tell: (to, kind, body) => {
--- a/packages/tower/src/client.ts
+++ b/packages/tower/src/client.ts
@@ -5,6 +5,9 @@
 
 export type CoreClient = { ask: <T>(a: CoreAsk, timeLeft?: Us) => Promise<{ seq: number; value: T }> };
 
+/** A tower that does not answer in this time may be gone; asking another costs nothing, asking twice has one effect. */
+const roundLimit = us.ms(500);
+
 export const coreClient = {
   open: (o: { lens: Lens; pipe: Pipe; towers: () => Place[] }): CoreClient => {
     const { lens, pipe } = o;
@@ -21,7 +24,7 @@
           const to = head ?? all[i++ % Math.max(1, all.length)];
           if (!to) { await time.sleep(lens.clock, us.ms(100)); continue; }
           try {
-            const r = await pipe.ask<CoreResult>(to, 'core', a, Math.min(us.ms(a.op === 'push' ? 1800 : 900), end - lens.clock.now() + us.ms(1)));
+            const r = await pipe.ask<CoreResult>(to, 'core', a, Math.min(roundLimit, end - lens.clock.now() + us.ms(1)));
             if (r.ok) { head = to; return { seq: r.seq, value: r.value as T }; }
             extra = r.towers;
             head = r.head && r.head !== to ? r.head : undefined;
