Reverted: placing by hash among workers of nearly equal use

Tried: when a program is placed, workers within 0.05 of the least used count as equal and the program's hash picks one, so that edges with the same old news do not all pick the same worker. The measurement now counts a program once when it moved between edges.

--- a/packages/chart/src/index.ts
+++ b/packages/chart/src/index.ts
@@ -14,13 +14,13 @@
 const scheduler = {
   pauseThreshold: 0.95, pauseTarget: 0.8, resumeHysteresis: 0.1, resumeTimeoutSeconds: 1800, retentionSeconds: 1800,
   intervalSeconds: 5, actingTokenWeight: 1, actingDecaySeconds: 1, headroomTokens: 100, maxTurns: 10_000, maxPrograms: 10_000,
-  holdLimitMs: 1500, resumeOnRoom: true, nearlyEqual: 0.05,
+  holdLimitMs: 1500, resumeOnRoom: true,
 };
 const schedulerCodec = sealed('scheduler', {
   pauseThreshold: range(0.05, 1), pauseTarget: range(0.01, 1), resumeHysteresis: range(0, 1),
   resumeTimeoutSeconds: range(0.1, 86_400), retentionSeconds: range(1, 86_400), intervalSeconds: range(0.05, 600),
   actingTokenWeight: range(0, 10), actingDecaySeconds: range(0.001, 3600), headroomTokens: whole(0, 1_000_000),
-  maxTurns: whole(1, 1_000_000), maxPrograms: whole(1, 1_000_000), holdLimitMs: whole(10, 1900), resumeOnRoom: t.boolean, nearlyEqual: range(0, 1),
+  maxTurns: whole(1, 1_000_000), maxPrograms: whole(1, 1_000_000), holdLimitMs: whole(10, 1900), resumeOnRoom: t.boolean,
 }, scheduler);
 
 const classCodec = sealed('class', {
--- a/packages/fairway/src/admission.ts
+++ b/packages/fairway/src/admission.ts
@@ -35,7 +35,7 @@
     pauseThreshold: s.pauseThreshold, pauseTarget: s.pauseTarget, resumeHysteresis: s.resumeHysteresis,
     resumeTimeout: us.s(s.resumeTimeoutSeconds), retention: us.s(s.retentionSeconds), interval: us.s(s.intervalSeconds),
     actingTokenWeight: s.actingTokenWeight, actingHalfLife: us.s(s.actingDecaySeconds), headroom: s.headroomTokens,
-    maxTurns: s.maxTurns, maxPrograms: s.maxPrograms, holdLimit: us.ms(s.holdLimitMs), resumeOnRoom: s.resumeOnRoom, nearlyEqual: s.nearlyEqual,
+    maxTurns: s.maxTurns, maxPrograms: s.maxPrograms, holdLimit: us.ms(s.holdLimitMs), resumeOnRoom: s.resumeOnRoom,
   };
 };
 const textOf = async (b: AsyncIterable<string>): Promise<string> => { let s = ''; for await (const p of b) s += p; return s; };
--- a/packages/fog/src/measure-cli.ts
+++ b/packages/fog/src/measure-cli.ts
@@ -26,8 +26,14 @@
   let worst = 0;
   while (!l.done() && f.w.now() < us.s(120)) {
     await f.w.run(f.w.now() + us.ms(250));
+    // Each program once: for a moment after it moved, two edges count it.
+    const last = new Map<string, { worker: string; tokens: number; touched: number }>();
+    for (const p of f.procs) for (const x of p.node?.fairway?.admission.state().programs.values() ?? []) {
+      if (x.standing !== 'active' || x.worker === null || (last.get(x.id)?.touched ?? -1) >= x.touched) continue;
+      last.set(x.id, { worker: x.worker, tokens: x.tokens, touched: x.touched });
+    }
     const per = new Map<string, number>();
-    for (const p of f.procs) if (p.role === 'front' && p.node?.fairway) for (const [w, n] of Object.entries(p.node.fairway.admission.load().tokens)) per.set(w, (per.get(w) ?? 0) + n);
+    for (const x of last.values()) per.set(x.worker, (per.get(x.worker) ?? 0) + x.tokens);
     for (const m of f.models) { const u = (per.get(m.id) ?? 0) / o.capacity; samples += 1; if (u > 1) over += 1; worst = Math.max(worst, u); }
   }
   const e = f.ledger.entries.filter((x) => x.program !== null);
@@ -56,7 +62,7 @@
   ...Object.fromEntries((['lautoka', 'granite'] as const).map((shape) => [`edges-${shape}`, async () => {
     out(`\n### Several edges on the same workers against one edge, ${shape} (simulated, ${seeds.length} seeds)\n`);
     head('load', 'edges taking calls', 'turns', 'held', 'forced', 'worker-samples over capacity', 'worst utilization');
-    for (const [name, o] of [['1', { callAt: 1 }], ['3', { callAt: 3 }], ['7', { callAt: 7 }], ['7, least used exactly', { callAt: 7, scheduler: { nearlyEqual: 0 } }]] as const) for (const [level, at] of [['moderate', moderate[shape]], ['heavy', load[shape]]] as const) {
+    for (const [name, o] of [['1', { callAt: 1 }], ['3', { callAt: 3 }], ['7', { callAt: 7 }]] as const) for (const [level, at] of [['moderate', moderate[shape]], ['heavy', load[shape]]] as const) {
       const d = await days(shape, { ...at, ...o });
       row(level, name, d.turns, d.held, d.forced, `${(100 * d.over).toFixed(2)}%`, d.worst.toFixed(2));
     }
--- a/packages/pilotage/src/index.ts
+++ b/packages/pilotage/src/index.ts
@@ -1,6 +1,6 @@
 // pilotage: the ThunderAgent program scheduler (§4), pure: (state, event, now) -> effects.
 // The state handed in is consumed and handed back changed; no clock, no random source, no input or output.
-import { hash, invariant, us, type Us } from '@thornsail/lens';
+import { invariant, us, type Us } from '@thornsail/lens';
 
 /** Values of §4.1; times in whole microseconds. */
 export type Options = {
@@ -11,8 +11,6 @@
   holdLimit: Us;
   /** Ours: also run the resume phase when a turn ends or room appears (§4.3). */
   resumeOnRoom: boolean;
-  /** Ours: workers whose utilization differs by no more than this count as equal when a program is placed (§4.4). */
-  nearlyEqual: number;
 };
 export type Phase = 'reasoning' | 'acting';
 export type Standing = 'active' | 'paused';
@@ -63,19 +61,15 @@
   (w.capacity <= 0 ? Infinity : ((mine.get(w.id) ?? 0) + (s.siblings.tokens.get(w.id) ?? 0)) / w.capacity);
 
 const eligible = (s: State): Worker[] => [...s.workers.values()].filter((w) => w.eligible);
-/** Of the workers that are as good as the least used, one by the program's hash: edges with the same news do not all pick the same (§4.4). */
-const pickLeast = (s: State, program: string, load: (w: Worker) => number): Worker | undefined => {
-  const all = eligible(s).map((w) => ({ w, u: load(w) }));
-  const least = Math.min(...all.map((x) => x.u));
-  let best: { w: Worker; h: number } | undefined;
-  for (const { w, u } of all) {
-    if (u > least + s.options.nearlyEqual) continue;
-    const h = hash.of(`${program} ${w.id}`);
-    if (best === undefined || h > best.h) best = { w, h };
+const pickLeast = (s: State, load: (w: Worker) => number): Worker | undefined => {
+  let best: { w: Worker; u: number } | undefined;
+  for (const w of eligible(s)) {
+    const u = load(w);
+    if (best === undefined || u < best.u) best = { w, u };
   }
   return best?.w;
 };
-const leastUsed = (s: State, program: string, mine: Map<string, number>): string | null => pickLeast(s, program, (w) => utilization(s, w, mine))?.id ?? null;
+const leastUsed = (s: State, mine: Map<string, number>): string | null => pickLeast(s, (w) => utilization(s, w, mine))?.id ?? null;
 const bySize = (a: Program, b: Program): number => a.tokens - b.tokens || (a.id < b.id ? -1 : 1);
 
 const release = (s: State, turn: string, p: Program, why: Why, waited: Us, now: Us): Effect => {
@@ -86,7 +80,7 @@
   p.touched = now;
   if (p.worker === null || !s.workers.get(p.worker)?.eligible) {
     if (p.worker !== null) s.counts.repacked += 1;
-    p.worker = leastUsed(s, p.id, own(s));
+    p.worker = leastUsed(s, own(s));
   }
   s.running.set(turn, p.id);
   s.held.delete(turn);
@@ -205,7 +199,7 @@
       }
     }
     const now_ = loads;
-    const best = pickLeast(s, p.id, (w) => (w.capacity > 0 ? ((now_.get(w.id) ?? 0) + p.tokens) / w.capacity : Infinity));
+    const best = pickLeast(s, (w) => (w.capacity > 0 ? ((now_.get(w.id) ?? 0) + p.tokens) / w.capacity : Infinity));
     if (p.standing === 'paused') {
       p.standing = 'active';
       p.worker = best?.id ?? null;
@@ -289,7 +283,7 @@
 export const pilotage = {
   defaults: (): Options => ({
     pauseThreshold: 0.95, pauseTarget: 0.8, resumeHysteresis: 0.1, resumeTimeout: us.s(1800), retention: us.s(1800), interval: us.s(5),
-    actingTokenWeight: 1, actingHalfLife: us.s(1), headroom: 100, maxTurns: 10_000, maxPrograms: 10_000, holdLimit: us.ms(1500), resumeOnRoom: true, nearlyEqual: 0.05,
+    actingTokenWeight: 1, actingHalfLife: us.s(1), headroom: 100, maxTurns: 10_000, maxPrograms: 10_000, holdLimit: us.ms(1500), resumeOnRoom: true,
   }),
   open: (options: Options, now: Us): State => ({
     options, programs: new Map(), held: new Map(), running: new Map(), workers: new Map(), siblings: { tokens: new Map(), sharers: 0, smallest: Infinity }, lastTick: now,
