--- a/packages/fog/test/api.test.ts
+++ b/packages/fog/test/api.test.ts
@@ -3,6 +3,7 @@
 import { us, type Place } from '@thornsail/lens';
 import { fleet, type Fleet } from '@thornsail/fog';
 import { root } from '@thornsail/signal';
+import { survey } from '@thornsail/thornsail';
 
 type Reply = { status: number; body: Record<string, unknown>; headers: Record<string, string> };
 const get = async (f: Fleet, work: Promise<Reply>): Promise<Reply> => {
@@ -88,6 +89,16 @@
   assert.equal((await get(f, f.http(at, 'PATCH', `${root}/config`, patch, json))).body['mark'], 3);
   assert.is((await get(f, f.http(at, 'PATCH', `${root}/config?plan=true`, patch, json))).status, 409);
   assert.is((await ask('pilot-edge1', 'registers')).status, 200);
+  assert.equal(((await ask('keeper1', 'history')).body['history'] as { mark: number }[]).map((x) => x.mark), [1, 2, 3]);
+  assert.equal((await ask('keeper1', 'config?mark=2')).body['raw'], (await ask('tower1', 'config?mark=2')).body['raw']);
+  assert.is((await ask('keeper1', 'config?mark=77')).status, 404);
+  const look = (at_: Place): Promise<Awaited<ReturnType<typeof survey.run>>> => { let r: Awaited<ReturnType<typeof survey.run>> | undefined; void survey.run((to, path) => f.http(to, 'GET', path).catch(() => undefined), at_).then((x) => { r = x; }); return f.until('the survey', () => r !== undefined, us.s(20)).then(() => r!); };
+  const well = await look(at);
+  assert.equal(well.ok ? well.findings.filter((x) => x.severity === 'bad') : null, []);
+  f.kill('keeper3', 'power');
+  f.kill('pilot-edge5');
+  const ill = await look(at);
+  assert.ok(ill.ok && ['keeper3', 'pilot-edge5'].every((n) => ill.findings.some((x) => x.severity === 'bad' && x.about === n && /does not answer/.test(x.text))));
   f.cut(['tower1', 'tower2', 'tower3'], f.procs.filter((p) => p.role !== 'tower').map((p) => p.name));
   const r = await ask('front-edge1', 'config');
   assert.equal([r.status, r.body['error']], [503, 'not_agreed']);
--- a/packages/lens/src/real.ts
+++ b/packages/lens/src/real.ts
@@ -11,7 +11,9 @@
 
 const clock: Clock = {
   now: () => Number(process.hrtime.bigint() / 1000n),
-  wall: () => Math.round(performance.timeOrigin * 1000 + performance.now() * 1000),
+  // The system's clock as it is now: it follows corrections, which the process's own origin does not.
+  // eslint-disable-next-line no-restricted-syntax
+  wall: () => Date.now() * 1000,
   tick: (after, fn) => {
     const t = setTimeout(fn, Math.max(0, after / 1000));
     return () => clearTimeout(t);
--- a/packages/signal/src/index.ts
+++ b/packages/signal/src/index.ts
@@ -109,7 +109,13 @@
       const s = value.state;
       const nodes = (): unknown => Object.values(s.roster).sort((a, b) => (a.role + a.name < b.role + b.name ? -1 : 1));
       switch (what) {
-        case 'config': return json(say, 200, { mark: s.config.mark, config: s.config.value, raw: s.config.raw }, { etag: `"${s.config.mark}"` });
+        case 'config': {
+          const mark = ask.query['mark'];
+          if (mark === undefined) return json(say, 200, { mark: s.config.mark, config: s.config.value, raw: s.config.raw }, { etag: `"${s.config.mark}"` });
+          const past = s.config.history.find((x) => String(x.mark) === mark);
+          return past ? json(say, 200, { mark: past.mark, raw: past.raw, now: s.config.mark }) : json(say, 404, { error: 'no_such_mark', message: `no configuration with mark ${mark} is kept` });
+        }
+        case 'history': return json(say, 200, { mark: s.config.mark, history: s.config.history.map((x) => ({ mark: x.mark, pushed: new Date(x.at / 1000).toISOString(), push: x.push, bytes: JSON.stringify(x.raw).length })) });
         case 'classes': return json(say, 200, { mark: s.config.mark, classes: s.config.value?.classes ?? {} });
         case 'nodes': return json(say, 200, { mark: seq, nodes: nodes() });
         case 'workers': return json(say, 200, { mark: seq, workers: value.news?.workers ?? [] });
--- a/packages/thornsail/src/bin.ts
+++ b/packages/thornsail/src/bin.ts
@@ -133,12 +133,18 @@
       subCommands: {
         get: operatorCommand('get', 'the agreed configuration', {}, (a) => op.show(String(a['at']), 'config', a['json'] === true)),
         put: operatorCommand('put', 'replace the whole configuration', pushArgs, pushed('PUT')),
+        history: operatorCommand('history', 'the last few configurations', {}, (a) => op.show(String(a['at']), 'history', a['json'] === true)),
+        revert: operatorCommand('revert', 'go back to an earlier configuration, as a new one', { to: { type: 'string', description: 'the mark to go back to', required: true } }, (a) => {
+          if (!/^\d+$/.test(String(a['to']))) wrongUse('--to: a whole number is needed');
+          return op.revert(String(a['at']), String(a['to']), a['json'] === true);
+        }),
         plan: operatorCommand('plan', 'show what a JSON Patch would change, without changing it', { file: pushArgs['file']! }, (a) => op.plan(String(a['at']), fileText(a), a['json'] === true)),
         'json-patch': operatorCommand('json-patch', 'change by JSON Patch; the plan is shown first', pushArgs, (a) => { checkBase(a); return op.jsonPatch(String(a['at']), fileText(a), a['base'] as string | undefined, (a['push-id'] ?? a['pushId']) as string | undefined, a['json'] === true); }),
         patch: operatorCommand('patch', 'change a part (JSON Merge Patch)', pushArgs, pushed('PATCH')),
       },
     }),
     glass: operatorCommand('glass', 'query the fleet\'s state: one query, or a shell without one', { query: { type: 'positional', description: 'a query, quoted', required: false } }, (a) => shell(String(a['at']), a['query'] as string | undefined, a['json'] === true)),
+    check: operatorCommand('check', 'look at every node and say what needs attention', {}, (a) => op.check(String(a['at']), a['json'] === true)),
     status: show('status', 'the fleet in short'),
     nodes: show('nodes', 'the roster'),
     workers: show('workers', 'the workers'),
--- a/packages/thornsail/src/operator.ts
+++ b/packages/thornsail/src/operator.ts
@@ -2,11 +2,14 @@
 import { fault, time, us, type HttpCall, type Lens } from '@thornsail/lens';
 import { glass } from '@thornsail/glass';
 import { root } from '@thornsail/signal';
+import { patience, survey } from './survey.js';
 
 type Reply = { status: number; body: Record<string, unknown> };
 export type Operator = {
   show: (at: string, what: string, json: boolean) => Promise<number>;
   push: (at: string, how: 'PUT' | 'PATCH', body: string, base: string | undefined, id: string | undefined, json: boolean) => Promise<number>;
+  check: (at: string, json: boolean) => Promise<number>;
+  revert: (at: string, to: string, json: boolean) => Promise<number>;
   plan: (at: string, body: string, json: boolean) => Promise<number>;
   jsonPatch: (at: string, body: string, base: string | undefined, id: string | undefined, json: boolean) => Promise<number>;
   query: (at: string, text: string, json: boolean) => Promise<number>;
@@ -26,8 +29,8 @@
 export const operator = {
   open: (o: { lens: Lens; out: (t: string) => void; err: (t: string) => void }): Operator => {
     const { lens, out, err } = o;
-    const call = async (c: Omit<HttpCall, 'timeLeft'>): Promise<Reply> => {
-      const r = await lens.net.call({ ...c, timeLeft: us.s(8) });
+    const call = async (c: Omit<HttpCall, 'timeLeft'>, timeLeft = us.s(8)): Promise<Reply> => {
+      const r = await lens.net.call({ ...c, timeLeft });
       let text = '';
       for await (const p of r.body) text += p;
       try { return { status: r.status, body: JSON.parse(text) as Record<string, unknown> }; } catch { return { status: r.status, body: { error: 'unreadable', message: text.slice(0, 200) } }; }
@@ -76,6 +79,26 @@
         out(json ? JSON.stringify(r.body) : `${rows(what, r.body)}\n(read at mark ${String(r.body['mark'])})`);
         return 0;
       }),
+      check: (at, json) => safely(async () => {
+        const get = async (to: string, path: string): Promise<Reply | undefined> => {
+          try { return await call({ at: to, method: 'GET', path }, patience); } catch { return undefined; }
+        };
+        const r = await survey.run(get, at);
+        if (!r.ok) { err(r.text); return 4; }
+        const bad = r.findings.filter((f) => f.severity === 'bad').length;
+        if (json) out(JSON.stringify(r));
+        else {
+          for (const f of r.findings) out(`${f.severity}: ${f.about} ${f.text}`);
+          out(`${r.nodes} nodes looked at, ${bad} bad, ${r.findings.length - bad} notes (read at mark ${r.mark})`);
+        }
+        return bad ? 1 : 0;
+      }),
+      revert: (at, to, json) => safely(async () => {
+        const past = await call({ at, method: 'GET', path: `${root}/config?mark=${to}` });
+        if (past.status !== 200) return failed(past, json);
+        // Against the mark that was read together with it: whoever pushed since then is not overwritten.
+        return send(at, 'PUT', 'application/json', JSON.stringify(past.body['raw']), String(past.body['now']), undefined, json);
+      }),
       plan: (at, body, json) => safely(async () => {
         const r = await planned(at, body, undefined);
         if (r.status !== 200) return failed(r, json);
--- a/packages/thornsail/src/roles.ts
+++ b/packages/thornsail/src/roles.ts
@@ -3,7 +3,7 @@
 import type { FrontOptions, KeeperOptions, PilotOptions, TowerOptions } from '@thornsail/chart';
 import { harbour } from '@thornsail/harbour';
 import { registers, store, sweep, type Group, type Registers } from '@thornsail/keeper';
-import { time, us, type HttpHandler, type Lens, type Place } from '@thornsail/lens';
+import { invariant, time, us, type HttpHandler, type Lens, type Place } from '@thornsail/lens';
 import { logbook } from '@thornsail/logbook';
 import { mooring, type Mooring } from '@thornsail/mooring';
 import { pipe, type Pipe } from '@thornsail/pipe';
@@ -29,7 +29,7 @@
   return k && k.mark > 0 ? { mark: k.mark, members: k.members } : undefined;
 };
 const commonCounts = (p: Pipe, m: Mooring): Record<string, number> => ({
-  frames_sent: p.counts().sent, frames_got: p.counts().got, suspects: m.lookout.suspects().length, freezes: m.freezes(),
+  breaches: invariant.breaches().length, frames_sent: p.counts().sent, frames_got: p.counts().got, suspects: m.lookout.suspects().length, freezes: m.freezes(),
   ...Object.fromEntries(Object.entries(m.beam.counts()).map(([k, v]) => [`news_${k}`, v])),
 });
 type Parts = { lens: Lens; pipe: Pipe; mooring: Mooring; registers: Registers; role: string; name: string; http: Place; ready: Node['ready']; counts: Node['counts']; drain: Node['drain']; stop: () => void; callers?: HttpHandler; fairway?: Fairway; maxBody?: number };
--- a/packages/tower/src/core.ts
+++ b/packages/tower/src/core.ts
@@ -36,7 +36,7 @@
 
     const run = async (ask: CoreAsk): Promise<{ seq: number; result: unknown }> => {
       switch (ask.op) {
-        case 'push': return v.propose<PushResult>((s) => order.push(s, ask.push));
+        case 'push': return v.propose<PushResult>((s) => order.push(s, ask.push, lens.clock.wall()));
         case 'join': return v.propose((s) => order.join(s, ask.node, lens.clock.wall()));
         case 'swept': return v.propose((s) => order.swept(s, ask.mark));
         case 'drain': return v.propose((s) => order.drain(s, ask.id, ask.on));
--- a/packages/tower/src/order.ts
+++ b/packages/tower/src/order.ts
@@ -7,8 +7,10 @@
 export type NodeEntry = { id: string; name: string; role: NodeRole; place: Place; http: Place; zone: string; inc: number; standing: 'live' | 'leaving' | 'dead'; since: Us };
 export type GroupChange = { add: Member } | { remove: string };
 export type KeeperGroup = { mark: number; members: Member[]; swept: number; draining: string[] };
+/** An earlier configuration as it was pushed; the last few are kept so that one can be gone back to (§7.2). */
+export type PastConfig = { mark: number; at: Us; push: string; raw: unknown };
 export type Ordered = {
-  config: { mark: number; raw: unknown; value: Config | null };
+  config: { mark: number; raw: unknown; value: Config | null; history: PastConfig[] };
   pushes: { id: string; mark: number }[];
   roster: Record<string, NodeEntry>;
   keepers: KeeperGroup;
@@ -22,12 +24,14 @@
 
 const pushesKept = 512;
 const deadKept = 64;
+const historyKept = 8;
+const historyBytes = 65_536;
 
 export const order = {
-  initial: (): Ordered => ({ config: { mark: 0, raw: null, value: null }, pushes: [], roster: {}, keepers: { mark: 0, members: [], swept: 0, draining: [] }, towers: [] }),
+  initial: (): Ordered => ({ config: { mark: 0, raw: null, value: null, history: [] }, pushes: [], roster: {}, keepers: { mark: 0, members: [], swept: 0, draining: [] }, towers: [] }),
 
   /** A push is judged against its base mark and has one effect however often it is repeated (§7.2). */
-  push: (s: Ordered, p: Push): { state: Ordered; result: PushResult } => {
+  push: (s: Ordered, p: Push, at: Us): { state: Ordered; result: PushResult } => {
     const before = s.pushes.find((x) => x.id === p.id);
     if (before) return { state: s, result: { ok: true, mark: before.mark, repeated: true } };
     if (p.base !== s.config.mark) return { state: s, result: { ok: false, why: 'collision', mark: s.config.mark } };
@@ -37,7 +41,7 @@
     const c = chart.check(raw);
     if (!c.ok) return { state: s, result: { ok: false, why: 'invalid', mark: s.config.mark, problems: c.problems } };
     const mark = s.config.mark + 1;
-    return { state: { ...s, config: { mark, raw, value: c.value }, pushes: [...s.pushes, { id: p.id, mark }].slice(-pushesKept) }, result: { ok: true, mark } };
+    return { state: { ...s, config: { mark, raw, value: c.value, history: past([...s.config.history, { mark, at, push: p.id, raw }]) }, pushes: [...s.pushes, { id: p.id, mark }].slice(-pushesKept) }, result: { ok: true, mark } };
   },
 
   /** A node joins, or refutes its death, with an incarnation above any known one (§3.2). */
@@ -86,6 +90,18 @@
   live: (s: Ordered, role?: NodeRole): NodeEntry[] => Object.values(s.roster).filter((n) => n.standing !== 'dead' && (!role || n.role === role)).sort((a, b) => (a.id < b.id ? -1 : 1)),
 };
 
+/** The newest few, and no more than the ordered state can carry: it goes whole with every version. */
+const past = (all: PastConfig[]): PastConfig[] => {
+  const out: PastConfig[] = [];
+  let size = 0;
+  for (const x of [...all].reverse()) {
+    size += JSON.stringify(x.raw).length;
+    if (out.length === historyKept || (out.length > 0 && size > historyBytes)) break;
+    out.unshift(x);
+  }
+  return out;
+};
+
 const prune = (roster: Record<string, NodeEntry>): Record<string, NodeEntry> => {
   const gone = Object.values(roster).filter((n) => n.standing === 'dead').sort((a, b) => a.since - b.since);
   const out = { ...roster };
