--- a/packages/roadstead/src/fleet-cli.ts
+++ b/packages/roadstead/src/fleet-cli.ts
@@ -17,7 +17,7 @@
 const faults = given['faults']!.split(',').filter(Boolean);
 for (const x of faults) if (!['kill', 'freeze', 'disk', 'config', 'leave', 'tower'].includes(x)) wrong(`--faults: no fault ${x}`);
 
-const f = await realFleet.open({ shape: given['shape'] as ShapeName, seed: Number(given['seed']), say: out, capacity: Number(given['capacity'] || (given['shape'] === 'lautoka' ? 500 : 1000)) });
+const f = await realFleet.open({ shape: given['shape'] as ShapeName, seed: Number(given['seed']), say: out, capacity: Number(given['capacity'] || (given['shape'] === 'lautoka' ? 400 : 750)) });
 let code = 1;
 try {
   out(`fleet of ${f.procs.length} processes is ready (${given['shape']}).`);
