A restarted node no longer takes results meant for its former process

Cause: asks were numbered from 1 by each process, and results come over the sibling's own pipe. A late result for the former process could answer an ask of the new one: a keeper's old "ok" for another key would have counted as an accept. Seen failing: upgrade.test, "for the first" taken by the second process. Change: asks are named by process and number. A simulated pipe now belongs to two processes, not to two hosts.

--- a/packages/fog/src/world.ts
+++ b/packages/fog/src/world.ts
@@ -7,7 +7,8 @@
   ip: string; zone: string; alive: boolean; dark: boolean; inc: number; frozen: boolean; late: Ev[];
   files: Map<string, string>; pending: Map<number, { name: string; text: string | null }>; skew: Us;
   frames: Map<Place, { got: (from: Place, text: string) => void; down: (to: Place) => void; to: Set<Place> }>; http: Map<Place, HttpHandler>;
-  open: Set<() => void>;
+  /** Pipes that this host has a part in; told when its process ends, or that it fell silent. */
+  open: Set<(silent: boolean) => void>;
 };
 export type World = {
   rand: Rand; now: () => Us; hash: () => string; events: () => number; syncs: () => number; frames: () => number; httpCalls: () => number;
@@ -157,9 +158,9 @@
           if (over === null) { over = 'cut'; nudge(); }
         };
         /** The other side's process ended: the pipe breaks. */
-        const theirs = (): void => { if (!severed(h, t)) later(delay(h, t), h, broke); };
+        const theirs = (silent: boolean): void => { if (!silent && !severed(h, t)) later(delay(h, t), h, broke); };
         /** This side's process ended. */
-        const mine = (): void => { phase = 'end'; if (!severed(h, t)) later(delay(h, t), t, () => { isGone = true; const f = goneFns; goneFns = []; for (const g of f) g(); }); };
+        const mine = (silent: boolean): void => { phase = 'end'; if (!silent && !severed(h, t)) later(delay(h, t), t, () => { isGone = true; const f = goneFns; goneFns = []; for (const g of f) g(); }); };
         h.open.add(mine);
         const say: HttpSay = {
           head: (status, headers) => toCaller(() => {
@@ -178,9 +179,12 @@
           gone: () => isGone,
           onGone: (fn) => { if (isGone) fn(); else goneFns.push(fn); },
         };
+        // A pipe belongs to two processes: what either host runs after a restart is not its end any more.
+        const [hInc, tInc] = [h.inc, t.inc];
+        const same = (): boolean => h.inc === hInc && t.inc === tInc;
         const toCaller = (fn: () => void): void => {
-          if (severed(h, t)) return;
-          deliver(t, h, () => { if (!severed(h, t)) fn(); });
+          if (severed(h, t) || !same()) return;
+          deliver(t, h, () => { if (!severed(h, t) && same()) fn(); });
         };
         const silence = req.silence ?? us.s(30);
         const body = async function* (): AsyncIterable<string> {
@@ -207,7 +211,6 @@
             h.open.delete(mine);
           }
         };
-        const inc = t.inc;
         if (severed(h, t)) return;
         deliver(h, t, () => {
           if (severed(h, t)) return;
@@ -217,7 +220,6 @@
           if (phase !== 'connect') return;
           phase = 'sent';
           t.open.add(theirs);
-          void inc;
           const u = new URL(req.path, 'http://x');
           const ask = { method: req.method, path: u.pathname, query: Object.fromEntries(u.searchParams), headers: Object.fromEntries(Object.entries(req.headers ?? {}).map(([k, v]) => [k.toLowerCase(), v])), body: req.body ?? '', tooBig: false };
           fold(`${req.method}${req.path}`);
@@ -297,7 +299,7 @@
         // A process that ends breaks its pipes; without power they just fall silent, until somebody asks the machine again.
         const open = [...h.open];
         h.open.clear();
-        if (how === 'process') for (const f of open) f();
+        for (const f of open) f(how !== 'process');
         // What was on its way to the disk is lost, or had just arrived.
         for (const p of h.pending.values()) if (how === 'process' ? rand.int(2) === 0 : rand.int(4) === 0) { if (p.text !== null) h.files.set(p.name, p.text); }
         h.pending.clear();
--- a/packages/pipe/src/index.ts
+++ b/packages/pipe/src/index.ts
@@ -5,7 +5,7 @@
 /** The protocol mark this build speaks, and the oldest it still understands (§3.4). */
 export const protocol = { mark: 1, oldest: 1 };
 
-type Frame = { p: number; k: 'tell' | 'ask' | 'result' | 'fault'; t: string; n: number; b: unknown };
+type Frame = { p: number; k: 'tell' | 'ask' | 'result' | 'fault'; t: string; n: string; b: unknown };
 export type Pipe = {
   at: Place;
   tell: (to: Place, kind: string, body: unknown) => void;
@@ -19,7 +19,10 @@
   open: async (lens: Lens, at: Place): Promise<Pipe> => {
     const log = lens.log('pipe');
     const handlers = new Map<string, (body: unknown, from: Place) => unknown>();
-    const open = new Map<number, { done: (v: unknown) => void; fail: (e: Error) => void; to: Place; kind: string }>();
+    // Results come over the sibling's own pipe, so one for this place's former process may still be on its way:
+    // the numbers of two processes must never meet.
+    const self = lens.rand.id();
+    const open = new Map<string, { done: (v: unknown) => void; fail: (e: Error) => void; to: Place; kind: string }>();
     let n = 0;
     const c = { sent: 0, got: 0 };
     let closed = false;
@@ -67,7 +70,7 @@
       at: frames.at,
       tell: (to, kind, body) => {
         if (to === frames.at) void Promise.resolve().then(() => handlers.get(kind)?.(parse(stringify(body)), to));
-        else send(to, { k: 'tell', t: kind, n: 0, b: body });
+        else send(to, { k: 'tell', t: kind, n: '', b: body });
       },
       ask: <T>(to: Place, kind: string, body: unknown, timeLeft: Us = us.ms(500)) => new Promise<T>((done, fail) => {
         if (to === frames.at) {
@@ -76,7 +79,7 @@
           Promise.resolve().then(() => h(parse(stringify(body)), to)).then((v) => done(v as T), fail);
           return;
         }
-        const id = ++n;
+        const id = `${self}.${++n}`;
         const stop = lens.clock.tick(timeLeft, () => {
           open.delete(id);
           fail(fault.make({ step: kind, sibling: to, code: 'late' }, 'no result in time'));
