A request for "//" no longer ends the front; a drain takes nothing new at once

Cause: the URL was read in an event handler, so what cannot be read was thrown past every catch. Seen failing: http.test, the process ended. Also found by reading: an undecodable name cut the pipe instead of giving 400; a draining front took requests until the core had been told (up to 2 s when it is cut off); a worker's event of several lines was relayed as one. Ruled out: other events of the server, which hand over to promises that are caught.

--- a/packages/fairway/src/plan.ts
+++ b/packages/fairway/src/plan.ts
@@ -12,12 +12,14 @@
 const reject = (status: number, error: string, field: string | null, text: string): Plan => ({ kind: 'reject', status, error, field, text });
 const ident = /^[A-Za-z0-9][A-Za-z0-9._:@-]{0,127}$/;
 
+const decoded = (s: string): string => { try { return decodeURIComponent(s); } catch { return ''; } };
+
 export const plan = {
   make: (ask: HttpAsk, config: Config): Plan => {
     const recall = /^\/v1\/conversations\/([^/]+)$/.exec(ask.path);
     if (recall) {
       if (ask.method !== 'GET') return reject(405, 'bad_method', null, 'only GET is served here');
-      const id = decodeURIComponent(recall[1]!);
+      const id = decoded(recall[1]!);
       return ident.test(id) ? { kind: 'recall', conversation: id } : reject(400, 'bad_field', 'conversation', 'not a valid name');
     }
     const chat = ask.path === '/v1/chat/completions';
--- a/packages/fairway/src/relay.ts
+++ b/packages/fairway/src/relay.ts
@@ -39,7 +39,7 @@
     if (!headSaid) { headSaid = true; say.head(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-cache', 'x-thornsail-worker': x.worker }); }
     n += 1;
     // A slow reader holds the worker's stream back; nothing piles up here.
-    if (say.write(`id: ${n}\ndata: ${data}\n\n`)) return;
+    if (say.write(`id: ${n}\ndata: ${data.replaceAll('\n', '\ndata: ')}\n\n`)) return;
     // One that has stopped reading is let go of; the turn at the worker runs on and is settled (§5.6).
     const stuck = await Promise.race([say.drained().then(() => false), time.sleep(clock, slowReader).then(() => true)]);
     if (stuck && !say.gone()) { e.bump('slow_cut'); say.cut(); }
--- a/packages/lens/src/real.ts
+++ b/packages/lens/src/real.ts
@@ -172,7 +172,12 @@
       if (size > maxBody * 4) raw.destroy();
     });
     raw.on('end', () => {
-      const u = new URL(raw.url ?? '/', 'http://x');
+      let u: URL;
+      try { u = new URL(raw.url ?? '/', 'http://x'); } catch {
+        out.head(400, { 'content-type': 'application/json' });
+        out.end('{"error":"bad_field","field":"path","ran":"no"}');
+        return;
+      }
       const ask = { method: raw.method ?? 'GET', path: u.pathname, query: Object.fromEntries(u.searchParams), headers: flat(raw.headers), body: Buffer.concat(parts).toString('utf8'), tooBig };
       Promise.resolve().then(() => handler(ask, out)).catch(() => out.cut());
     });
--- a/packages/signal/src/index.ts
+++ b/packages/signal/src/index.ts
@@ -22,6 +22,7 @@
   say.head(status, { 'content-type': 'application/json', ...headers });
   say.end(JSON.stringify(body));
 };
+const decoded = (path: string): string[] | undefined => { try { return path.split('/').map(decodeURIComponent); } catch { return undefined; } };
 const metrics = (n: SignalNode): string => {
   const lines: string[] = [];
   const label = `{role="${n.role}",name="${n.name}"}`;
@@ -151,7 +152,9 @@
         }
         if (ask.path === '/metrics' && ask.method === 'GET') { say.head(200, { 'content-type': 'text/plain; version=0.0.4' }); say.end(metrics(n)); return; }
         if (!ask.path.startsWith(`${root}/`)) return json(say, 404, { error: 'no_such_path', message: `nothing is served at ${ask.path}` });
-        const [what = '', target = ''] = ask.path.slice(root.length + 1).split('/').map(decodeURIComponent);
+        const words = decoded(ask.path.slice(root.length + 1));
+        if (!words) return json(say, 400, { error: 'bad_field', field: 'path' });
+        const [what = '', target = ''] = words;
         if (what === 'config' && (ask.method === 'PUT' || ask.method === 'PATCH')) return await push(ask, say);
         if (what === 'drain' && target && ['POST', 'DELETE', 'GET'].includes(ask.method)) return await drain(ask, say, target);
         if (what === 'node' && ask.method === 'GET') return json(say, 200, { id: n.mooring.id, name: n.name, role: n.role, place: n.pipe.at, mark: n.mooring.mark(), inRoster: n.mooring.inRoster(), stale: n.mooring.stale(), counts: n.counts() });
--- a/packages/thornsail/src/roles.ts
+++ b/packages/thornsail/src/roles.ts
@@ -37,7 +37,12 @@
 /** What all roles share: the operators' HTTP, draining by a sibling's word, closing in order. */
 const serve = async (x: Parts): Promise<Node> => {
   let draining: Promise<void> | undefined;
-  const drain = (): Promise<void> => (draining ??= (async () => { await x.mooring.leave(); await x.drain(); })());
+  const drain = (): Promise<void> => (draining ??= (async () => {
+    // Nothing new is taken from now on, even if the core cannot be told.
+    const done = x.drain();
+    await x.mooring.leave();
+    await done;
+  })());
   const ops = signal.handler({ ...x, drain });
   const own = x.callers;
   const http = await x.lens.net.serve(x.http, (ask, say) => (own && !ask.path.startsWith(`${root}/`) && ask.path !== '/ready' && ask.path !== '/metrics' ? own(ask, say) : ops(ask, say)), x.maxBody ?? operatorBody);
@@ -102,7 +107,7 @@
     const m = mooring.open({ lens, pipe: p, id: c.views.id, name: o.name, role: 'tower', http: o.http, zone: o.zone, seeds: o.seeds, towers: o.founders });
     here.moor = m;
     if (last) give(last);
-    const regs = registers.open({ lens, pipe: p, by: m.id, group: () => groupOf(m) });
+    const regs = registers.open({ lens, pipe: p, by: `${m.id}.${lens.rand.id()}`, group: () => groupOf(m) });
     return serve({
       lens, pipe: p, mooring: m, registers: regs, role: 'tower', name: o.name, http: o.http,
       ready: () => { const s = c.views.standing(); return { ok: s === 'lead' || (s === 'follow' && c.views.head() !== undefined), why: s === 'unformed' ? ['not in a view'] : c.views.head() === undefined ? ['no head'] : [] }; },
@@ -117,7 +122,7 @@
     const book = await logbook.open(lens.disk);
     const s = await store.open({ lens, pipe: p, book });
     const m = mooring.open({ lens, pipe: p, id: s.id, name: o.name, role: 'keeper', http: o.http, zone: o.zone, seeds: o.seeds });
-    const regs = registers.open({ lens, pipe: p, by: s.id, group: () => groupOf(m) });
+    const regs = registers.open({ lens, pipe: p, by: `${s.id}.${lens.rand.id()}`, group: () => groupOf(m) });
     const counts: Record<string, number> = {};
     m.onState(() => { const g = groupOf(m); if (g) void s.learn(g); });
     const stopSweep = sweepDuty({ lens, pipe: p, mooring: m, registers: regs, id: s.id, voters: () => m.marked()?.members.map((x) => x.at) ?? [], counts });
