--- a/packages/keeper/src/sweep.ts
+++ b/packages/keeper/src/sweep.ts
@@ -6,6 +6,8 @@
 import { ballot, grace, ranges, type DigestResult, type Group, type ListResult } from './store.js';
 
 export type SweepResult = { complete: boolean; mark: number; seen: number; mended: number; purged: number; ranges: number };
+/** Keys settled at once after a change of group. */
+const atOnce = 16;
 const majority = (n: number): number => Math.floor(n / 2) + 1;
 
 export const sweep = {
@@ -44,21 +46,29 @@
       const byKey = new Map<string, { k: (typeof good)[number]['k']; accepted: [number, string]; until: Us; touched: Us }[]>();
       for (const { k, l } of good) for (const e of l.keys) if (end === null || e.key <= end) byKey.set(e.key, [...(byKey.get(e.key) ?? []), { k, accepted: e.accepted, until: e.until, touched: e.touched }]);
       const wall = Math.min(...good.map((g) => g.l.wall));
-      for (const [key, copies] of [...byKey].sort(([a], [b]) => (a < b ? -1 : 1))) {
-        if (!o.still()) return r;
-        r.seen += 1;
-        const first = copies[0]!;
-        const same = copies.length === good.length && copies.every((c) => ballot.cmp(c.accepted, first.accepted) === 0);
-        if (good.length === group.members.length && same && copies.every((c) => Math.max(c.until, c.touched) + grace < wall)) {
-          await Promise.all(copies.map((c) => pipe.ask(c.k.at, 'reg.purge', { to: c.k.id, group, key, ballot: first.accepted, wall }).catch(() => undefined)));
-          r.purged += 1;
-        } else if (o.all || !same) {
-          try { await registers.settleKey(key, us.s(2)); } catch { return r; }
-          if (!same) r.mended += 1;
+      const keys = [...byKey].sort(([a], [b]) => (a < b ? -1 : 1));
+      const failed = { any: false };
+      const work = async (): Promise<void> => {
+        for (let x = keys.shift(); x && !failed.any; x = keys.shift()) {
+          const [key, copies] = x;
+          if (!o.still()) { failed.any = true; return; }
+          r.seen += 1;
+          const first = copies[0]!;
+          const same = copies.length === good.length && copies.every((c) => ballot.cmp(c.accepted, first.accepted) === 0);
+          if (good.length === group.members.length && same && copies.every((c) => Math.max(c.until, c.touched) + grace < wall)) {
+            await Promise.all(copies.map((c) => pipe.ask(c.k.at, 'reg.purge', { to: c.k.id, group, key, ballot: first.accepted, wall }).catch(() => undefined)));
+            r.purged += 1;
+          } else if (o.all || !same) {
+            try { await registers.settleKey(key, us.s(2)); } catch { failed.any = true; return; }
+            if (!same) r.mended += 1;
+          }
+          o.progress?.(r.seen);
+          if (o.pause > 0) await time.sleep(clock, o.pause);
         }
-        o.progress?.(r.seen);
-        if (o.pause > 0) await time.sleep(clock, o.pause);
-      }
+      };
+      // After a change of group many keys at once: until it is complete no further keeper may fail.
+      await Promise.all(Array.from({ length: o.all ? atOnce : 1 }, work));
+      if (failed.any) return r;
       if (end !== null) { after = end; continue; }
       range = todo.shift();
       after = '';
