A refused job is answered before its key is given back

Cause: the refusal of a keyed job waited for the register, up to 0.6 s with slow keepers; a turn that is given up is to get its answer at once. Ruled out: unkeyed jobs.

--- a/packages/fairway/src/job.ts
+++ b/packages/fairway/src/job.ts
@@ -18,19 +18,26 @@
   const left = (): Us => Math.min(silenceLimit, p.timeLeft) - (clock.now() - begun);
   let claimed = false;
   inFlight.add(turn);
-  const no = async (status: number, error: string, text: string, retryAfter: number | null, ran: Ran = st.ran()): Promise<void> => {
+  let closing = false;
+  /** The key is given back after the result has gone out: a refusal does not wait for the keepers. */
+  const close = (): void => {
+    if (!claimed) return;
+    closing = true;
+    void books.unclaim(p, turn).finally(() => inFlight.delete(turn));
+  };
+  const no = (status: number, error: string, text: string, retryAfter: number | null, ran: Ran = st.ran()): void => {
     st.go('reject');
-    if (claimed) await books.unclaim(p, turn);
+    close();
     x.say.reject(say, status, error, text, ran, retryAfter);
   };
   try {
     // The claim comes before any wait: a copy with the same key at another edge must find it (§5.4).
     if (p.key !== null) {
-      if (x.mooring.stale()) return await no(503, 'stale', 'this node has just woken: the request may be an old copy', 1, 'unknown');
+      if (x.mooring.stale()) return no(503, 'stale', 'this node has just woken: the request may be an old copy', 1, 'unknown');
       let r: Claimed;
       try { r = await books.claim(p, turn, Math.max(us.ms(50), left())); } catch (e) {
         log(`a claim failed: ${fault.text(e)}.`);
-        return await no(503, 'no_keepers', 'the claim could not be kept by a majority', backoff(), 'unknown');
+        return no(503, 'no_keepers', 'the claim could not be kept by a majority', backoff(), 'unknown');
       }
       if (!r.ok) { st.go('reject'); repeated(x, p, say, r.once); return; }
       claimed = true;
@@ -41,23 +48,23 @@
       say.onGone(slot.gone);
       const s = await slot.got;
       if (!s.ok) {
-        if (s.why === 'gone') { st.go('reject'); if (claimed) await books.unclaim(p, turn); return; }
-        return await no(s.why === 'none' ? 503 : 429, s.why === 'none' ? 'no_worker' : 'busy', s.why === 'none' ? 'no worker of this kind is there' : 'all workers of this class are taken', backoff());
+        if (s.why === 'gone') { st.go('reject'); close(); return; }
+        return no(s.why === 'none' ? 503 : 429, s.why === 'none' ? 'no_worker' : 'busy', s.why === 'none' ? 'no worker of this kind is there' : 'all workers of this class are taken', backoff());
       }
       let took: Us | null = null;
       try {
         if (round === 0) st.go('admit');
-        if (!(await x.freshen())) return await no(503, 'stale', 'this node has just woken and could not refresh its news', 1);
+        if (!(await x.freshen())) return no(503, 'stale', 'this node has just woken and could not refresh its news', 1);
         const now = adm.worker(s.worker.id);
         if (!now || now.leaving) { not.add(s.worker.id); continue; }
-        if (say.gone() || left() <= 0) return await no(503, 'late', 'the time left ran out before anything was sent', 1);
+        if (say.gone() || left() <= 0) return no(503, 'late', 'the time left ran out before anything was sent', 1);
         if (st.now() === 'admitted') st.go('charge');
         st.go('send');
         const sentAt = clock.now();
         const r = await worker.send(lens, now, { path: formats.job.path, body: p.body, headers: p.key === null ? {} : { 'idempotency-key': p.key }, fresh: p.key !== null, left: Math.max(us.ms(100), p.timeLeft - (clock.now() - begun)) });
         if (!r.ok) {
           adm.bad(now.id);
-          if (r.unsent) { st.go('unsent'); not.add(now.id); if (round < 3 && left() > 0) continue; return await no(503, 'no_worker', 'no worker could be reached', 1); }
+          if (r.unsent) { st.go('unsent'); not.add(now.id); if (round < 3 && left() > 0) continue; return no(503, 'no_worker', 'no worker could be reached', 1); }
           // A byte may have reached the worker: only what is safe to repeat, and only within the retry budget.
           if (!p.once && p.key === null && round === 0 && left() > 0 && x.mayRetry()) { bump('retried'); st.go('lose'); st.go('again'); not.add(now.id); continue; }
           st.go('lose');
@@ -86,5 +93,5 @@
         return;
       } finally { adm.leave(s.worker.id, p.cls, took); }
     }
-  } finally { inFlight.delete(turn); }
+  } finally { if (!closing) inFlight.delete(turn); }
 };
