--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,7 +4,7 @@
 export default [
   { ignores: ['**/*.js', '**/*.d.ts'] },
   {
-    files: ['packages/**/*.ts', 'examples/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts', 'examples/*.ts'],
     languageOptions: { parser, parserOptions: { project: './tsconfig.json' } },
     plugins: { '@typescript-eslint': plugin },
     rules: {
--- a/packages/berth/src/index.ts
+++ b/packages/berth/src/index.ts
@@ -1,16 +1,37 @@
 // berth: the workers (§5.2). Which of them may take a turn of a class now, and which one does.
-import type { Config } from '@thornsail/chart';
+import { serviceOf, type Config } from '@thornsail/chart';
 import { invariant, us, type Place, type Us } from '@thornsail/lens';
 import { fair } from './fair.js';
 
 export type Kind = 'model' | 'app';
-export type WorkerEntry = { id: string; at: Place; kind: Kind; leaving: boolean };
+export type WorkerEntry = {
+  id: string;
+  at: Place;
+  kind: Kind;
+  leaving: boolean;
+  /** The service it belongs to; left out: it is one of all workers of its kind. */
+  service?: string;
+  /** Requests at once; left out: what the configuration says for its kind. */
+  slots?: number;
+  /** Capacity of its KV cache in tokens, where whoever lists it knows that already. */
+  cacheTokens?: number;
+  zone?: string;
+};
+/** The name under which classes find a worker. */
+export const groupOf = (w: WorkerEntry): string => w.service ?? w.kind;
 /** Running turns by worker and class, waiting turns by class. */
 export type Load = { running: Record<string, Record<string, number>>; waiting: Record<string, number> };
 export const load = { empty: (): Load => ({ running: {}, waiting: {} }) };
 
 type Sums = { slots: number; running: number; byClass: Map<string, number> };
-export type Want = { hint?: string | null; not?: ReadonlySet<string>; force?: boolean; hungry?: Us };
+export type Want = {
+  hint?: string | null;
+  not?: ReadonlySet<string>;
+  force?: boolean;
+  hungry?: Us;
+  /** Another service than the class's own, for a route that is split. */
+  service?: string;
+};
 /** How old an edge's news of its siblings' turns may be. */
 export const newsLag = us.ms(250);
 export type Berths = {
@@ -44,11 +65,14 @@
     let theirs: Load[] = [];
     const dealt = fair.open({ me, now, lag: newsLag });
     let edges = { all: [me], busy: [me] };
-    const kindOf = (cls: string): Kind | undefined => config?.classes[cls]?.kind;
-    const classes = (kind: Kind): [string, Config['classes'][string]][] =>
-      Object.entries(config?.classes ?? {}).filter(([, c]) => c.kind === kind);
+    const ownService = (cls: string): string | undefined => {
+      const c = config?.classes[cls];
+      return c && serviceOf(c);
+    };
+    const classes = (service: string): [string, Config['classes'][string]][] =>
+      Object.entries(config?.classes ?? {}).filter(([, c]) => serviceOf(c) === service);
+    const slotsOf = (w: WorkerEntry | undefined): number => w?.slots ?? config?.slots[w?.kind ?? 'model'] ?? 1;
     const runningAt = (worker: string): Sums => {
-      const kind = all.get(worker)?.kind ?? 'model';
       const byClass = new Map<string, number>();
       let running = 0;
       for (const l of [mine, ...theirs])
@@ -56,32 +80,32 @@
           byClass.set(cls, (byClass.get(cls) ?? 0) + n);
           running += n;
         }
-      return { slots: config?.slots[kind] ?? 1, running, byClass };
+      return { slots: slotsOf(all.get(worker)), running, byClass };
     };
     const usable = (w: WorkerEntry, not?: ReadonlySet<string>): boolean =>
       !w.leaving && !not?.has(w.id) && (bad.get(w.id) ?? 0) <= now();
-    const weights = (kind: Kind): number => classes(kind).reduce((a, [, c]) => a + c.weight, 0) || 1;
-    const total = (kind: Kind): number =>
-      [...all.values()].filter((w) => w.kind === kind && !w.leaving).length * (config?.slots[kind] ?? 1);
+    const weights = (service: string): number => classes(service).reduce((a, [, c]) => a + c.weight, 0) || 1;
+    const total = (service: string): number =>
+      [...all.values()].reduce((a, w) => a + (groupOf(w) === service && !w.leaving ? slotsOf(w) : 0), 0);
     const entitled = (cls: string): number => {
       const c = config?.classes[cls];
-      return c ? Math.max(1, (total(c.kind) * c.weight) / weights(c.kind)) : 0;
+      return c ? Math.max(1, (total(serviceOf(c)) * c.weight) / weights(serviceOf(c))) : 0;
     };
     const runs = (cls: string): number =>
       [mine, ...theirs].reduce((a, l) => a + Object.values(l.running).reduce((b, r) => b + (r[cls] ?? 0), 0), 0);
     const waits = (cls: string): number => [mine, ...theirs].reduce((a, l) => a + (l.waiting[cls] ?? 0), 0);
     /** A class above its share gives way while another below its own is waiting: borrowed shares go back first. */
-    const mustGiveWay = (cls: string, kind: Kind): boolean => {
+    const mustGiveWay = (cls: string, service: string): boolean => {
       if (runs(cls) < entitled(cls)) return false;
-      return classes(kind).some(([d]) => d !== cls && waits(d) > 0 && runs(d) < entitled(d));
+      return classes(service).some(([d]) => d !== cls && waits(d) > 0 && runs(d) < entitled(d));
     };
-    const room = (s: Sums, cls: string, kind: Kind): number => {
+    const room = (s: Sums, cls: string, service: string): number => {
       let free = s.slots - s.running;
       const own = config?.classes[cls]?.reserve ?? 0;
       // Its own reserve is there for it even when forced turns have overfilled the worker.
       if (own > 0) free = Math.max(free, Math.ceil(own * s.slots) - (s.byClass.get(cls) ?? 0));
       // What urgent classes keep un-lent: a running turn is never cut, so they must not wait for one to end.
-      for (const [d, c] of classes(kind))
+      for (const [d, c] of classes(service))
         if (d !== cls && c.reserve > 0) free -= Math.max(0, Math.ceil(c.reserve * s.slots) - (s.byClass.get(d) ?? 0));
       return free;
     };
@@ -107,15 +131,16 @@
         edges = { all: [me, ...l.map((x) => x.id)].sort(), busy: [me, ...busy.map((x) => x.id)].sort() };
       },
       pick: (cls, o) => {
-        const kind = kindOf(cls);
-        if (!kind) return null;
-        if (!o.force && mustGiveWay(cls, kind)) return null;
+        const own = ownService(cls);
+        if (own === undefined) return null;
+        const service = o.service ?? own;
+        if (!o.force && mustGiveWay(cls, own)) return null;
         let best: WorkerEntry | null = null;
         let least = Infinity;
         for (const w of all.values()) {
-          if (w.kind !== kind || !usable(w, o.not)) continue;
+          if (groupOf(w) !== service || !usable(w, o.not)) continue;
           const s = runningAt(w.id);
-          const free = room(s, cls, kind);
+          const free = room(s, cls, own);
           if (!o.force && (free < 1 || !mayTake(w, free, o.hungry ?? 0))) continue;
           if (w.id === o.hint && free >= 1) return w;
           const l = s.running / s.slots;
--- a/packages/chart/src/index.ts
+++ b/packages/chart/src/index.ts
@@ -7,7 +7,7 @@
 
 export type { Problem } from './codec.js';
 
-const name = match(/^[a-z][a-z0-9-]{0,39}$/, 'a name of small letters, digits and dashes');
+const label = match(/^[A-Za-z0-9][A-Za-z0-9._:-]{0,99}$/, 'a name of letters, digits and ._:-');
 const at = new t.Type<string>(
   'an address "ip:port"',
   (u): u is string => place.ok(u),
@@ -55,6 +55,8 @@
   'class',
   {
     kind: oneOf('model', 'app'),
+    /** The service whose workers it uses; empty: all workers of its kind. */
+    service: t.string,
     weight: range(0.01, 1000),
     urgent: t.boolean,
     reserve: range(0, 0.5),
@@ -66,6 +68,7 @@
     buffer: whole(0, 100_000),
   },
   {
+    service: '',
     urgent: false,
     reserve: 0,
     budgetTokens: 1_000_000,
@@ -77,7 +80,57 @@
   },
 );
 
+/** Slots of a worker of each kind, for workers that do not name their own. */
 const slotsCodec = sealed('slots', { model: whole(1, 10_000), app: whole(1, 10_000) }, { model: 16, app: 16 });
+
+/** A route: which service gets the requests of a host and path, and on what terms (§5.7). */
+const routeCodec = sealed(
+  'route',
+  {
+    name: label,
+    host: t.string,
+    prefix: match(/^\/(.*\/)?$/, 'a path that begins and ends with a slash'),
+    /** What may be repeated: any request, none that may have run, one run for each key, or a stream of events. */
+    semantics: oneOf('idempotent', 'effectful', 'keyed', 'stream'),
+    targets: t.array(sealed('target', { service: label, weight: range(0, 1_000_000) })),
+    class: label,
+    deadlineMs: range(1, 3_600_000),
+    aimMs: range(0, 3_600_000),
+    gapMs: range(0, 3_600_000),
+    urgency: whole(0, 1000),
+    maxAttempts: whole(1, 100),
+    resumable: t.boolean,
+    /** For how long a turn is kept from the end of its answer on; 0: it is not kept. */
+    keepSeconds: range(0, 31_536_000),
+  },
+  { gapMs: 0, urgency: 0, maxAttempts: 1, resumable: false, keepSeconds: 0 },
+);
+/** A service: a kind of worker, as far as the workers themselves do not tell (§5.7). */
+const serviceCodec = sealed(
+  'service',
+  {
+    name: label,
+    connections: whole(1, 1_000_000),
+    /** Tokens in one event of a stream. */
+    tokensPerEvent: range(0.001, 1_000_000),
+    /** Serves agent programs' turns: admission counts its cache (§4). */
+    model: t.boolean,
+    cacheTokens: range(0, 1e12),
+    /** Keeps its own record of keys. */
+    deduplicates: t.boolean,
+  },
+  { connections: 256, tokensPerEvent: 1, model: false, cacheTokens: 0, deduplicates: false },
+);
+const limits = {
+  maxBodyBytes: 1 << 20,
+  maxKeptBytes: 262_144,
+  promptBytesPerToken: 1,
+  onceKeepSeconds: 86_400,
+  programKeepSeconds: 604_800,
+  maxHeaderBytes: 16_384,
+  headersWithinMs: 10_000,
+  idleForMs: 5_000,
+};
 const limitsCodec = sealed(
   'limits',
   {
@@ -86,42 +139,62 @@
     promptBytesPerToken: range(0.25, 16),
     onceKeepSeconds: whole(10, 2_592_000),
     programKeepSeconds: whole(60, 31_536_000),
+    maxHeaderBytes: whole(1024, 65_536),
+    headersWithinMs: whole(100, 600_000),
+    idleForMs: whole(100, 3_600_000),
   },
-  {
-    maxBodyBytes: 1 << 20,
-    maxKeptBytes: 262_144,
-    promptBytesPerToken: 1,
-    onceKeepSeconds: 86_400,
-    programKeepSeconds: 604_800,
-  },
+  limits,
 );
+/** When a change of the configuration is acknowledged (§7.2). */
+const acknowledge = oneOf('in-use', 'agreed');
 
 const configCodec = sealed(
   'configuration',
   {
-    classes: t.record(name, classCodec),
+    classes: t.record(label, classCodec),
     slots: slotsCodec,
     scheduler: schedulerCodec,
     limits: limitsCodec,
+    routes: t.array(routeCodec),
+    services: t.array(serviceCodec),
+    acknowledge,
   },
   {
     slots: { model: 16, app: 16 },
     scheduler,
-    limits: {
-      maxBodyBytes: 1 << 20,
-      maxKeptBytes: 262_144,
-      promptBytesPerToken: 1,
-      onceKeepSeconds: 86_400,
-      programKeepSeconds: 604_800,
-    },
+    limits,
+    routes: [],
+    services: [],
+    acknowledge: 'in-use',
   },
 );
 
 export type Config = t.TypeOf<typeof configCodec>;
 export type ClassOf = t.TypeOf<typeof classCodec>;
+export type Route = t.TypeOf<typeof routeCodec>;
+export type Service = t.TypeOf<typeof serviceCodec>;
 export type SchedulerOptions = t.TypeOf<typeof schedulerCodec>;
 export type Checked<T> = { ok: true; value: T } | { ok: false; problems: Problem[] };
 
+/** The workers that a class uses, by name. */
+export const serviceOf = (c: ClassOf): string => c.service || c.kind;
+const repeated = (all: string[]): string[] => all.filter((x, i) => all.indexOf(x) !== i);
+/** What routes and services must agree on among themselves (§5.7). */
+const routeRules = (c: Config): Problem[] => {
+  const services = new Set(c.services.map((s) => s.name));
+  const builtIn = c.services.length === 0 ? [] : repeated(c.services.map((s) => s.name));
+  const out: Problem[] = builtIn.map((n) => ({ path: 'services', text: `${n} is named twice` }));
+  for (const n of repeated(c.routes.map((r) => r.name))) out.push({ path: 'routes', text: `${n} is named twice` });
+  for (const n of repeated(c.routes.map((r) => `${r.host.toLowerCase()} ${r.prefix}`)))
+    out.push({ path: 'routes', text: `two routes for ${n}` });
+  for (const [i, r] of c.routes.entries()) {
+    const bad = (field: string, text: string): void => void out.push({ path: `routes.${i}.${field}`, text });
+    for (const x of r.targets) if (!services.has(x.service)) bad('targets', `there is no service ${x.service}`);
+    if (r.targets.reduce((a, x) => a + x.weight, 0) <= 0) bad('targets', 'the weights add up to 0');
+    if (!Object.hasOwn(c.classes, r.class)) bad('class', `there is no class ${r.class}`);
+  }
+  return out;
+};
 const rules = (c: Config): Problem[] => {
   const out: Problem[] = [];
   const bad = (path: string, text: string): void => void out.push({ path, text });
@@ -130,29 +203,42 @@
   if (s.resumeHysteresis > s.pauseThreshold)
     bad('scheduler.resumeHysteresis', 'must not be above scheduler.pauseThreshold');
   if (Object.keys(c.classes).length === 0) bad('classes', 'at least one class is needed');
-  for (const kind of ['model', 'app'] as const) {
+  for (const kind of new Set(Object.values(c.classes).map(serviceOf))) {
     const sum = Object.values(c.classes)
-      .filter((k) => k.kind === kind)
+      .filter((k) => serviceOf(k) === kind)
       .reduce((a, k) => a + k.reserve, 0);
     if (sum > 0.8) bad('classes', `reserves of ${kind} classes add up to ${sum.toFixed(2)}, at most 0.8`);
   }
-  return out;
+  return [...out, ...routeRules(c)];
 };
 
+/** What a node goes by; its place in the fleet. */
 const process_ = {
   place: at,
   http: at,
-  zone: name,
+  zone: label,
   seeds: t.array(at),
-  name,
+  name: label,
   data: t.string,
 };
 const common = { zone: 'z1', seeds: [] as string[] };
 const optionCodecs = {
-  tower: sealed('tower options', { ...process_, founders: t.array(at) }, { ...common, founders: [] }),
+  tower: sealed(
+    'tower options',
+    { ...process_, founders: t.array(at), tolerates: whole(1, 3), leastKeepers: whole(0, 7) },
+    { ...common, founders: [], tolerates: 1, leastKeepers: 0 },
+  ),
   keeper: sealed('keeper options', process_, common),
-  pilot: sealed('pilot options', { place: at, http: at, zone: name, seeds: t.array(at), name, platform: at }, common),
-  front: sealed('front options', { place: at, http: at, zone: name, seeds: t.array(at), name, pilot: at }, common),
+  pilot: sealed(
+    'pilot options',
+    { place: at, http: at, zone: label, seeds: t.array(at), name: label, platform: at },
+    common,
+  ),
+  front: sealed(
+    'front options',
+    { place: at, http: at, zone: label, seeds: t.array(at), name: label, pilot: at },
+    common,
+  ),
 };
 export type Role = keyof typeof optionCodecs;
 export type TowerOptions = t.TypeOf<typeof optionCodecs.tower>;
@@ -235,7 +321,7 @@
   },
   keys: (role: Role): string[] =>
     ({
-      tower: ['place', 'http', 'zone', 'seeds', 'name', 'data', 'founders'],
+      tower: ['place', 'http', 'zone', 'seeds', 'name', 'data', 'founders', 'tolerates', 'leastKeepers'],
       keeper: ['place', 'http', 'zone', 'seeds', 'name', 'data'],
       pilot: ['place', 'http', 'zone', 'seeds', 'name', 'platform'],
       front: ['place', 'http', 'zone', 'seeds', 'name', 'pilot'],
--- a/packages/fairway/src/admission.ts
+++ b/packages/fairway/src/admission.ts
@@ -1,7 +1,16 @@
 // Admission of this edge: pilotage decides for programs, berth for slots; this part carries out what they say
 // (§4.4, §5.2).
-import { berth, formats, newsLag, load as loads, type Berths, type Load, type WorkerEntry } from '@thornsail/berth';
-import type { Config } from '@thornsail/chart';
+import {
+  berth,
+  formats,
+  groupOf,
+  newsLag,
+  load as loads,
+  type Berths,
+  type Load,
+  type WorkerEntry,
+} from '@thornsail/berth';
+import { serviceOf, type Config } from '@thornsail/chart';
 import { time, us, wholeText, type Lens, type Stop, type Us } from '@thornsail/lens';
 import { likely, type Likely } from './likely.js';
 import { pilotage, type Effect, type Event, type Options, type State, type Why } from '@thornsail/pilotage';
@@ -19,7 +28,13 @@
   | { ok: true; worker: string | null; why: Why; waited: Us }
   | { ok: false; why: 'turns' | 'programs' | 'busy' | 'gone' };
 export type Slot = { ok: true; worker: WorkerEntry } | { ok: false; why: 'full' | 'late' | 'gone' | 'none' };
-type Wait = { hint: string | null; not: ReadonlySet<string>; done: (s: Slot) => void; until: Us };
+type Wait = {
+  hint: string | null;
+  not: ReadonlySet<string>;
+  service?: string;
+  done: (s: Slot) => void;
+  until: Us;
+};
 
 export type Admission = {
   turn: (e: Event & { kind: 'arrive' }, onHold: () => void) => { released: Promise<Released>; gone: () => void };
@@ -28,7 +43,7 @@
   end: (turn: string, e: { tokens: number | null; final: boolean; worker: string | null }) => void;
   slot: (
     cls: string,
-    o: { hint: string | null; not: ReadonlySet<string>; force: boolean; limit: Us },
+    o: { hint: string | null; not: ReadonlySet<string>; force: boolean; limit: Us; service?: string },
   ) => { got: Promise<Slot>; gone: () => void };
   leave: (worker: string, cls: string, took: Us | null) => void;
   expected: (cls: string) => Us;
@@ -122,12 +137,12 @@
         kind: 'workers',
         list: list
           .filter((w) => w.kind === 'model')
-          .map((w) => ({ id: w.id, capacity: capacity.get(w.id) ?? 0, eligible: !w.leaving })),
+          .map((w) => ({ id: w.id, capacity: w.cacheTokens ?? capacity.get(w.id) ?? 0, eligible: !w.leaving })),
       });
     const measure = async (some: WorkerEntry[]): Promise<void> => {
       await Promise.all(
         some
-          .filter((w) => w.kind === 'model')
+          .filter((w) => w.kind === 'model' && w.cacheTokens === undefined)
           .map(async (w) => {
             try {
               const r = await lens.net.call({
@@ -179,7 +194,8 @@
           const w = q[0]!;
           const late = w.until <= now;
           const hungry = now - (hungrySince.get(cls) ?? now);
-          const got = late ? null : berths.pick(cls, { hint: w.hint, not: w.not, hungry });
+          const of = w.service === undefined ? {} : { service: w.service };
+          const got = late ? null : berths.pick(cls, { hint: w.hint, not: w.not, hungry, ...of });
           if (!late && !got) break;
           q.shift();
           wait(cls, -1);
@@ -225,15 +241,17 @@
       grow: (program, tokens) => step({ kind: 'grow', program, tokens }),
       end: (turn, e) => step({ kind: 'end', turn, ...e }),
       slot: (cls, o) => {
-        const got = berths.pick(cls, { hint: o.hint, not: o.not, force: o.force });
+        const of = o.service === undefined ? {} : { service: o.service };
+        const got = berths.pick(cls, { hint: o.hint, not: o.not, force: o.force, ...of });
         const none = { gone: () => undefined };
         const q = buffers.get(cls) ?? [];
         if (got && (o.force || q.length === 0)) {
           take(got.id, cls);
           return { got: Promise.resolve<Slot>({ ok: true, worker: got }), ...none };
         }
-        const kind = config?.classes[cls]?.kind;
-        if (!berths.list().some((w) => w.kind === kind && !w.leaving && !o.not.has(w.id)))
+        const own = config?.classes[cls];
+        const service = o.service ?? (own && serviceOf(own));
+        if (!berths.list().some((w) => groupOf(w) === service && !w.leaving && !o.not.has(w.id)))
           return { got: Promise.resolve<Slot>({ ok: false, why: 'none' }), ...none };
         // Early rejection: what cannot be had in time is said at once, not at the end of the wait (§4.3).
         const ahead = (q.length + 1) / Math.max(1, berths.entitled(cls));
@@ -246,7 +264,7 @@
         const p = new Promise<Slot>((fin) => {
           done = fin;
         });
-        const w: Wait = { hint: o.hint, not: o.not, done, until: clock.now() + o.limit };
+        const w: Wait = { hint: o.hint, not: o.not, ...of, done, until: clock.now() + o.limit };
         buffers.set(cls, [...q, w]);
         if (!hungrySince.has(cls)) hungrySince.set(cls, clock.now());
         wait(cls, 1);
--- a/packages/fairway/src/books.ts
+++ b/packages/fairway/src/books.ts
@@ -8,6 +8,10 @@
 
 export type Chat = Plan & { kind: 'chat' };
 export type Job = Plan & { kind: 'job' };
+/** A program's account (§5.3): whose budget, how much, and for how long it is remembered at least. */
+export type Account = { program: string; budget: number; keepSeconds: number };
+/** A key's claim (§5.4): its register, and the digest of the request that comes with it. */
+export type Key = { name: string; sum: string };
 export type Done = {
   status: number;
   type: string;
@@ -16,31 +20,40 @@
   prompt: number;
   completion: number;
 };
+/** A worker's answer that was passed on unread; its body as Latin-1, a character a byte (§5.7). */
+export type Answer = { status: number; headers: string[]; body: string };
 /** `sum` is the digest of the request that first came with the key. */
-export type Once = { by: string; at: Us; turn: string; done: Done | null; sum?: string };
+export type Once = { by: string; at: Us; turn: string; done: Done | Answer | null; sum?: string };
 /** `marks` names the last turns kept, `ends` says how long the conversation was after each. */
 export type Kept = { messages: unknown[]; marks: string[]; ends?: number[] };
 export type Claimed = { ok: true } | { ok: false; once: Once };
-export type Charged = { ok: true } | { ok: false; why: 'spent' | 'open' };
+/** `purse` is what stands after the charge. */
+export type Charged = { ok: true; purse: Purse } | { ok: false; why: 'spent' | 'open' };
 export type Books = {
-  claim: (p: Chat | Job, turn: string, left: Us) => Promise<Claimed>;
-  unclaim: (p: Chat | Job, turn: string) => Promise<void>;
-  record: (p: Chat | Job, turn: string, done: Done) => Promise<void>;
+  claim: (k: Key, turn: string, left: Us) => Promise<Claimed>;
+  unclaim: (k: Key, turn: string) => Promise<void>;
+  record: (k: Key, turn: string, done: Done | Answer) => Promise<void>;
   purse: (program: string, left: Us) => Promise<Purse | undefined>;
-  charge: (p: Chat, turn: string, reserve: number, left: Us) => Promise<Charged>;
+  charge: (a: Account, turn: string, reserve: number, left: Us) => Promise<Charged>;
   settle: (
-    p: Chat,
+    a: Account,
     turn: string,
     e: { actual: number; tokens: number; worker: string | null },
     left: Us,
   ) => Promise<void>;
-  giveBack: (p: Chat, turn: string) => Promise<void>;
+  giveBack: (a: Account, turn: string) => Promise<void>;
   kept: (conversation: string, left: Us) => Promise<Kept | undefined>;
   /** Keeps an exchange, if the conversation is still `base` messages long; else it throws. */
   append: (p: Chat, turn: string, base: number, said: unknown[], left: Us) => Promise<void>;
   /** The reply that a turn with this key left in its conversation. */
   keptReply: (p: Chat | Job, left: Us) => Promise<{ content?: unknown } | undefined>;
 };
+export const keyOf = (p: Chat | Job): Key => ({ name: `${p.cls}/${p.key!}`, sum: p.sum });
+export const accountOf = (p: Chat): Account => ({
+  program: p.program,
+  budget: p.of.budgetTokens,
+  keepSeconds: p.of.keepSeconds,
+});
 
 /** No turn is open for longer; its outcome counts as lost then. */
 export const maxTurn = us.s(300);
@@ -49,6 +62,9 @@
 /** A refused key is free again after so long by its edge's own clock: less than the shortest Retry-After (§5.4). */
 const refusedQuiet = us.ms(900);
 const largestKept = 65_536;
+/** What stands in place of a result that is too large to be kept; a copy is told that its outcome is not known. */
+const tooLarge = (d: Done | Answer): Done | Answer =>
+  'type' in d ? { ...d, body: '', type: 'too-large' } : { status: 0, headers: [], body: '' };
 
 export const books = {
   open: (o: {
@@ -62,16 +78,16 @@
     const { lens, registers: regs, me, inFlight } = o;
     const log = lens.log('fairway');
     const keys = {
-      once: (p: Chat | Job): string => `once/${p.cls}/${p.key!}`,
+      once: (k: Key): string => `once/${k.name}`,
       program: (id: string): string => `program/${id}`,
       conv: (id: string): string => `conv/${id}`,
     };
     /** A shorter keeping time pushed meanwhile does not cut what was promised. */
     const until = (w: Walls, promised: Us, secs: number): Us => Math.max(promised, w.max + us.s(secs));
     /** Changes a value that must be there and this turn's; otherwise leaves it as it is. */
-    const onceChange = (p: Chat | Job, turn: string, fn: (was: Once) => Once, left: Us): Promise<void> =>
+    const onceChange = (k: Key, turn: string, fn: (was: Once) => Once, left: Us): Promise<void> =>
       regs.change<void>(
-        keys.once(p),
+        keys.once(k),
         (v, w, promised) => {
           const was = v as Once | undefined;
           return was?.turn !== turn
@@ -81,27 +97,27 @@
         left,
       );
     /** A budget is remembered at least as long as the program's conversation can be resumed. */
-    const purseUntil = (p: Chat, w: Walls, promised: Us): Us =>
-      until(w, promised, Math.max(o.limits().programKeepSeconds, p.of.keepSeconds));
-    const purseChange = (p: Chat, fn: (was: Purse | undefined) => Purse | undefined, left: Us): Promise<void> =>
+    const purseUntil = (a: Account, w: Walls, promised: Us): Us =>
+      until(w, promised, Math.max(o.limits().programKeepSeconds, a.keepSeconds));
+    const purseChange = (a: Account, fn: (was: Purse | undefined) => Purse | undefined, left: Us): Promise<void> =>
       regs.change<void>(
-        keys.program(p.program),
+        keys.program(a.program),
         (v, w, promised): Write<void> => {
           const next = fn(v as Purse | undefined);
           return next === v || next === undefined
             ? { keep: true, result: undefined }
-            : { held: { value: next, until: purseUntil(p, w, promised) }, result: undefined };
+            : { held: { value: next, until: purseUntil(a, w, promised) }, result: undefined };
         },
         left,
       );
     return {
-      claim: (p, turn, left) =>
+      claim: (k, turn, left) =>
         regs.change<Claimed>(
-          keys.once(p),
+          keys.once(k),
           (v, w, promised) => {
             const was = v as Once | undefined;
             if (was && was.turn !== turn) return { keep: true, result: { ok: false, once: was } };
-            const once: Once = { by: me, at: w.max, turn, done: null, sum: p.sum };
+            const once: Once = { by: me, at: w.max, turn, done: null, sum: k.sum };
             return {
               held: { value: once, until: until(w, promised, o.limits().onceKeepSeconds) },
               result: { ok: true },
@@ -110,7 +126,7 @@
           left,
         ),
       /** Only from a stage in which nothing was sent. */
-      unclaim: async (p, turn) => {
+      unclaim: async (k, turn) => {
         // A copy that was already on its way must not run after "not run" was said: until the caller may come back
         // the key stays claimed. The time is this edge's own; no two machines' clocks are compared (§5.4).
         await time.sleep(lens.clock, refusedQuiet);
@@ -118,37 +134,38 @@
           (v as Once | undefined)?.turn === turn
             ? { held: null, result: undefined }
             : { keep: true, result: undefined };
-        await regs.change<void>(keys.once(p), free, us.s(2)).catch(() => undefined);
+        await regs.change<void>(keys.once(k), free, us.s(2)).catch(() => undefined);
       },
-      record: (p, turn, done) => {
-        const small: Done = done.body.length > largestKept ? { ...done, body: '', type: 'too-large' } : done;
-        return onceChange(p, turn, (was) => ({ ...was, done: small }), us.ms(900)).catch((e) =>
+      record: (k, turn, done) => {
+        const small = done.body.length > largestKept ? tooLarge(done) : done;
+        return onceChange(k, turn, (was) => ({ ...was, done: small }), us.ms(900)).catch((e) =>
           log(`a once-result was not recorded: ${fault.text(e)}.`),
         );
       },
       purse: (program, left) => regs.read(keys.program(program), left) as Promise<Purse | undefined>,
-      charge: (p, turn, reserve, left) =>
+      charge: (a, turn, reserve, left) =>
         regs.change<Charged>(
-          keys.program(p.program),
+          keys.program(a.program),
           (v, w, promised) => {
             const r = dues.charge(v as Purse | undefined, {
               turn,
               by: me,
               reserve,
-              budget: p.of.budgetTokens,
+              budget: a.budget,
               at: w.max,
               gone: (x) => (x.by === me ? !inFlight.has(x.turn) : o.deadFor(x.by) > edgeGone || w.min - x.at > maxTurn),
             });
             if (!r.ok) return { keep: true, result: { ok: false, why: r.why } };
-            return { held: { value: r.purse, until: purseUntil(p, w, promised) }, result: { ok: true } };
+            const result: Charged = { ok: true, purse: r.purse };
+            return { held: { value: r.purse, until: purseUntil(a, w, promised) }, result };
           },
           left,
         ),
-      settle: (p, turn, e, left) => purseChange(p, (was) => dues.settle(was, { turn, ...e }), left),
-      giveBack: (p, turn) => purseChange(p, (was) => dues.giveBack(was, turn), us.ms(800)).catch(() => undefined),
+      settle: (a, turn, e, left) => purseChange(a, (was) => dues.settle(was, { turn, ...e }), left),
+      giveBack: (a, turn) => purseChange(a, (was) => dues.giveBack(was, turn), us.ms(800)).catch(() => undefined),
       kept: (conversation, left) => regs.read(keys.conv(conversation), left) as Promise<Kept | undefined>,
       append: async (p, turn, base, said, left) => {
-        const mark = p.key === null ? turn : keys.once(p);
+        const mark = p.key === null ? turn : keys.once(keyOf(p));
         const ok = await regs.change<boolean>(
           keys.conv(p.conversation!),
           (v, w, promised) => {
@@ -171,7 +188,7 @@
       keptReply: async (p, left) => {
         if (p.kind !== 'chat' || p.conversation === null) return undefined;
         const v = (await regs.read(keys.conv(p.conversation), left)) as Kept | undefined;
-        const end = v?.ends?.[v.marks.indexOf(keys.once(p))] ?? 0;
+        const end = v?.ends?.[v.marks.indexOf(keys.once(keyOf(p)))] ?? 0;
         return end > 0 ? (v!.messages[end - 1] as { content?: unknown } | undefined) : undefined;
       },
     };
--- a/packages/fairway/src/chat.ts
+++ b/packages/fairway/src/chat.ts
@@ -2,7 +2,7 @@
 import { formats, type WorkerEntry } from '@thornsail/berth';
 import { fault, invariant, time, us, type HttpSay, type Us } from '@thornsail/lens';
 import type { Released } from './admission.js';
-import type { Charged, Chat } from './books.js';
+import { accountOf, keyOf, type Charged, type Chat } from './books.js';
 import { claimKey, silenceLimit, slotLimit, worker, type Edge } from './edge.js';
 import { relay } from './relay.js';
 import type { Ran } from './say.js';
@@ -50,8 +50,8 @@
   r.inTable = false;
   r.closing = true;
   const close = async (): Promise<void> => {
-    if (r.charged) await x.books.giveBack(p, r.turn);
-    if (r.claimed) await x.books.unclaim(p, r.first);
+    if (r.charged) await x.books.giveBack(accountOf(p), r.turn);
+    if (r.claimed) await x.books.unclaim(keyOf(p), r.first);
   };
   void close().finally(() => x.inFlight.delete(r.first));
   x.say.reject(r.say, status, error, text, ran ?? r.st.ran(), retryAfter);
@@ -147,7 +147,7 @@
   while (!r.charged) {
     let got: Charged;
     try {
-      got = await x.books.charge(p, r.turn, c.reserve, Math.max(us.ms(50), left(r)));
+      got = await x.books.charge(accountOf(p), r.turn, c.reserve, Math.max(us.ms(50), left(r)));
     } catch (e) {
       x.lens.log('fairway')(`a charge failed: ${fault.text(e)}.`);
       r.charged = true; // It may have been written: the books give it back if so.
@@ -217,7 +217,7 @@
   const { x, p } = r;
   x.bump('retried');
   const lost = { actual: c.reserve, tokens: c.guess, worker: null };
-  await x.books.settle(p, r.turn, lost, Math.max(us.ms(50), left(r))).catch(() => undefined);
+  await x.books.settle(accountOf(p), r.turn, lost, Math.max(us.ms(50), left(r))).catch(() => undefined);
   r.charged = false;
   x.adm.end(r.turn, { tokens: null, final: false, worker: null });
   r.inTable = false;
--- a/packages/fairway/src/edge.ts
+++ b/packages/fairway/src/edge.ts
@@ -4,7 +4,7 @@
 import { fault, us, type HttpResult, type HttpSay, type Lens, type Place, type Us } from '@thornsail/lens';
 import type { Mooring } from '@thornsail/mooring';
 import type { Admission } from './admission.js';
-import type { Books, Chat, Claimed, Done, Job, Once } from './books.js';
+import { keyOf, type Books, type Chat, type Claimed, type Done, type Job, type Once } from './books.js';
 import { completion, type Say } from './say.js';
 import type { Stages } from './stage.js';
 
@@ -61,7 +61,7 @@
 };
 
 /** Whether the edge that claimed a key still has the turn at hand; its own word, not a clock, decides. */
-const stillOpen = async (x: Edge, once: Once): Promise<boolean> => {
+export const stillOpen = async (x: Edge, once: Once): Promise<boolean> => {
   if (once.by === x.me) return x.inFlight.has(once.turn);
   const n = x.mooring.state()?.roster[once.by];
   if (!n || n.standing === 'dead') return false;
@@ -69,7 +69,8 @@
 };
 /** A result that was recorded, or that the turn left in its conversation. */
 const recorded = async (x: Edge, p: Chat | Job, once: Once): Promise<Done | undefined> => {
-  if (once.done && once.done.type !== 'too-large') return once.done;
+  const done = once.done as Done | null;
+  if (done && done.type !== 'too-large') return done;
   const kept = await x.books.keptReply(p, us.ms(600)).catch(() => undefined);
   if (typeof kept?.content !== 'string') return undefined;
   return { status: 200, type: 'chat', body: kept.content, finish: null, prompt: 0, completion: 0 };
@@ -116,7 +117,7 @@
   if (x.mooring.stale()) return no('this node has just woken: the request may be an old copy', 'stale');
   let c: Claimed;
   try {
-    c = await x.books.claim(p, turn, Math.max(us.ms(50), left));
+    c = await x.books.claim(keyOf(p), turn, Math.max(us.ms(50), left));
   } catch (e) {
     x.lens.log('fairway')(`a claim failed: ${fault.text(e)}.`);
     return no('the claim could not be kept by a majority', 'no_keepers');
--- /dev/null
+++ b/packages/fairway/src/forward/connections.ts
@@ -0,0 +1,99 @@
+// Connections kept to workers (§5.8): one pool for each life of a worker. Of the idle ones the one that has rested
+// longest is used first, so that a surplus answer shows before the next request is sent; one that its worker is
+// about to close is not used any more.
+import type { WorkerEntry } from '@thornsail/berth';
+import { us, type Clock, type Connection, type Net, type Us } from '@thornsail/lens';
+
+type Kept = { connection: Connection; idleSince: Us; idleFor: Us };
+type Pool = { idle: Kept[]; used: number };
+export type Lease = {
+  connection: Connection;
+  /** It has served an exchange before. */
+  reused: boolean;
+  /** Gives it back after a whole answer; `keepAlive` in seconds, as the worker told it. */
+  done: (keepAlive: number | null) => void;
+  /** Not to be used again: what comes over it next may belong to nobody. */
+  spoilt: () => void;
+};
+export type Connections = {
+  /** Undefined where this edge's part of what the worker accepts is used up. */
+  take: (w: WorkerEntry, most: number) => Lease | undefined;
+  /** Forgets the workers that are gone. */
+  retain: (ids: ReadonlySet<string>) => void;
+  counts: () => { opened: number; reused: number; held: number };
+  close: () => void;
+};
+
+const connectWithin = us.ms(500);
+/** A worker that tells nothing keeps an idle connection for at least so long, by what we have seen. */
+const untold = us.s(4);
+/** What is left of a worker's own time when a connection is not used any more. */
+const margin = us.ms(400);
+
+export const connections = {
+  open: (o: { clock: Clock; net: Net }): Connections => {
+    const pools = new Map<string, Pool>();
+    const c = { opened: 0, reused: 0 };
+    const poolOf = (id: string): Pool => {
+      const p = pools.get(id) ?? { idle: [], used: 0 };
+      pools.set(id, p);
+      return p;
+    };
+    const fit = (k: Kept): boolean => k.connection.open() && o.clock.now() - k.idleSince < k.idleFor;
+    const rested = (pool: Pool): Connection | undefined => {
+      for (let k = pool.idle.shift(); k; k = pool.idle.shift()) {
+        if (fit(k)) return k.connection;
+        k.connection.close();
+      }
+      return undefined;
+    };
+    const leased = (pool: Pool, connection: Connection, reused: boolean): Lease => {
+      let over = false;
+      const end = (): boolean => {
+        if (over) return false;
+        over = true;
+        pool.used -= 1;
+        return true;
+      };
+      return {
+        connection,
+        reused,
+        done: (keepAlive) => {
+          if (!end()) return;
+          const idleFor = keepAlive === null ? untold : Math.max(0, us.s(keepAlive) - margin);
+          if (connection.open() && idleFor > 0) pool.idle.push({ connection, idleSince: o.clock.now(), idleFor });
+          else connection.close();
+        },
+        spoilt: () => {
+          if (end()) connection.close();
+        },
+      };
+    };
+    return {
+      take: (w, most) => {
+        const pool = poolOf(w.id);
+        if (pool.used >= most) return undefined;
+        const kept = rested(pool);
+        pool.used += 1;
+        if (kept) {
+          c.reused += 1;
+          return leased(pool, kept, true);
+        }
+        c.opened += 1;
+        return leased(pool, o.net.connect(w.at, { connectWithin }), false);
+      },
+      retain: (ids) => {
+        for (const [id, p] of pools) {
+          if (ids.has(id)) continue;
+          for (const k of p.idle) k.connection.close();
+          pools.delete(id);
+        }
+      },
+      counts: () => ({ ...c, held: [...pools.values()].reduce((a, p) => a + p.used + p.idle.length, 0) }),
+      close: () => {
+        for (const p of pools.values()) for (const k of p.idle) k.connection.close();
+        pools.clear();
+      },
+    };
+  },
+};
--- /dev/null
+++ b/packages/fairway/src/forward/kept.ts
@@ -0,0 +1,79 @@
+// Turns that are kept (§5.9): each is a register of its own, written once before the end of its answer leaves. A turn
+// names the chain before it, so that a continued one is put together from the turns of a tree.
+import type { Registers } from '@thornsail/keeper';
+import { fault, us, type Clock, type Us } from '@thornsail/lens';
+
+/** Input and output as Latin-1, a character a byte; `chain` from the oldest turn on, without this one. */
+export type KeptTurn = { chain: string[]; input: string; output: string };
+export type KeptTurns = {
+  /** The turns of a chain up to `last`, oldest first; undefined if there is no such turn. Throws rather than guess. */
+  chain: (last: string, left: Us) => Promise<{ ids: string[]; text: string } | undefined>;
+  /** Resolves once a majority has it. */
+  keep: (id: string, turn: KeptTurn, keepSeconds: number, left: Us) => Promise<void>;
+  bytes: () => number;
+};
+
+/** What this edge remembers of the turns that it kept or read: they never change. */
+const memory = 24 << 20;
+const register = (id: string): string => `turn/${id}`;
+const sizeOf = (t: KeptTurn): number => t.input.length + t.output.length + 64 * (t.chain.length + 2);
+
+const remembered = (): {
+  get: (id: string) => KeptTurn | undefined;
+  set: (id: string, t: KeptTurn) => void;
+  size: () => number;
+} => {
+  const all = new Map<string, KeptTurn>();
+  let size = 0;
+  return {
+    get: (id) => all.get(id),
+    set: (id, t) => {
+      if (all.has(id)) return;
+      all.set(id, t);
+      size += sizeOf(t);
+      for (const [old, x] of all) {
+        if (size <= memory) break;
+        all.delete(old);
+        size -= sizeOf(x);
+      }
+    },
+    size: () => size,
+  };
+};
+
+export const kept = {
+  open: (o: { clock: Clock; registers: Registers }): KeptTurns => {
+    const near = remembered();
+    const read = async (id: string, left: Us): Promise<KeptTurn | undefined> => {
+      const here = near.get(id);
+      if (here) return here;
+      const t = (await o.registers.read(register(id), left)) as KeptTurn | undefined;
+      if (t) near.set(id, t);
+      return t;
+    };
+    return {
+      chain: async (last, left) => {
+        const end = await read(last, left);
+        if (!end) return undefined;
+        const before = await Promise.all(end.chain.map((id) => read(id, left)));
+        // A chain is kept as long as its last turn: one that lacks a turn is not known for sure.
+        if (before.some((t) => t === undefined))
+          throw fault.make({ step: 'chain', code: 'no-majority' }, `${last}: an earlier turn was not found`);
+        const turns = [...(before as KeptTurn[]), end];
+        return { ids: [...end.chain, last], text: turns.map((t) => t.input + t.output).join('') };
+      },
+      keep: async (id, turn, keepSeconds, left) => {
+        await o.registers.change<void>(
+          register(id),
+          (v, w, promised) =>
+            v === undefined
+              ? { held: { value: turn, until: Math.max(promised, w.max + us.s(keepSeconds)) }, result: undefined }
+              : { keep: true, result: undefined },
+          left,
+        );
+        near.set(id, turn);
+      },
+      bytes: () => near.size(),
+    };
+  },
+};
--- /dev/null
+++ b/packages/fairway/src/forward/plan.ts
@@ -0,0 +1,42 @@
+// The plan of a request that is passed on unread (§5.7): made first, as data, in whatever words its dialect has.
+import type { Route } from '@thornsail/chart';
+import type { Us } from '@thornsail/lens';
+
+/** A turn of a program (§4): what its caller says of the program besides the request itself. */
+export type Turn = {
+  program: string;
+  /** The line of turns within the program; the scheduler's unit (§4.3). */
+  session: string;
+  /** Until the program should be over, from arrival on; null: not told. */
+  remaining: Us | null;
+  /** Tokens that all turns of the program may put out; null: no budget. */
+  budget: number | null;
+};
+export type Forward = {
+  kind: 'forward';
+  route: Route;
+  cls: string;
+  /** Names this attempt of the caller; every answer of a worker is held against it. */
+  attempt: string;
+  method: string;
+  target: string;
+  /** Name, value, ...: what is passed on, without what concerns one connection or is set anew. */
+  headers: readonly string[];
+  body: Uint8Array;
+  /** What the caller will wait, from arrival on. */
+  deadline: Us;
+  key: string | null;
+  /** Tokens of the prompt, and the most that may be put out. */
+  usage: { prompt: number; most: number };
+  turn: Turn | null;
+  /** The earlier turn that this one continues. */
+  previous: string | null;
+  /** The last event that the caller has seen of this stream. */
+  lastEvent: string | null;
+};
+export type Refused = { kind: 'refuse'; status: number; error: string; field: string | null; text: string };
+export type ForwardPlan = Forward | Refused;
+
+/** Whether a request may run more than once (§5.4). */
+export const repeatable = (p: Forward): boolean =>
+  p.route.semantics === 'idempotent' || (p.route.semantics === 'stream' && p.route.resumable);
--- a/packages/fairway/src/index.ts
+++ b/packages/fairway/src/index.ts
@@ -20,6 +20,10 @@
 import { books, maxTurn } from './books.js';
 import { chat } from './chat.js';
 import type { Edge } from './edge.js';
+import { connections } from './forward/connections.js';
+import type { Dialect } from './forward/dialect.js';
+import { forward, type Forwarding } from './forward/forward.js';
+import { kept } from './forward/kept.js';
 import { job } from './job.js';
 import { plan as plans } from './plan.js';
 import { report } from './report.js';
@@ -28,13 +32,18 @@
 export type { EdgeLoad } from './admission.js';
 export { optionsOf } from './admission.js';
 export { plan, type Plan } from './plan.js';
+export { dialect, type Dialect, type HeaderNames } from './forward/dialect.js';
 /** What the platform's list looks like in the news: one item for each pilot that reads it. */
 export type WorkersNews = { list: WorkerEntry[] };
 
 export type Fairway = {
   handle: HttpHandler;
+  /** Passes on, unread, what comes in a dialect's words (§5.7). */
+  forward: (d: Dialect) => HttpHandler;
   ready: () => { ok: boolean; why: string[] };
   drain: () => Promise<void>;
+  /** What callers may send, by the configuration in use; undefined before the first. */
+  limits: () => Config['limits'] | undefined;
   counts: () => Record<string, number>;
   admission: Admission;
   registers: Registers;
@@ -131,7 +140,9 @@
     };
     const takeWorkers = (): void => {
       const pilot = o.pilotId?.();
-      adm.workers(workersOf(mooring.beam, clock.now(), pilot === undefined ? undefined : `workers/${pilot}`));
+      const list = workersOf(mooring.beam, clock.now(), pilot === undefined ? undefined : `workers/${pilot}`);
+      adm.workers(list);
+      pool.retain(new Set(list.map((w) => w.id)));
     };
     mooring.onState(takeState);
     mooring.beam.on((n) => {
@@ -203,6 +214,15 @@
       tookOver: reports.tookOver,
       askOpen: (at, turn) => pipe.ask<boolean>(at, 'turn.open', { turn }, us.ms(300)),
     };
+    const pool = connections.open({ clock, net: lens.net });
+    const turns = kept.open({ clock, registers: regs });
+    const fronts = (): number => {
+      const s = mooring.state();
+      return Math.max(
+        1,
+        s ? Object.values(s.roster).filter((n) => n.role === 'front' && n.standing === 'live').length : 1,
+      );
+    };
     const recall = async (id: string, say: HttpSay): Promise<void> => {
       try {
         const v = await book.kept(id, us.ms(1500));
@@ -243,7 +263,45 @@
       }
     };
 
+    /** What may be taken now; else why not. */
+    const closedFor = async (): Promise<string | null> => {
+      if (!config) return 'no configuration yet';
+      if (draining) return 'this node is leaving';
+      if (!inTouch() && (!(await mooring.refresh()) || !inTouch())) return 'this node is cut off from most others';
+      return inFlight.size >= config.scheduler.maxTurns ? 'this node holds as many requests as it may' : null;
+    };
+    const passOn = async (f: Forwarding, ask: HttpAsk, say: HttpSay): Promise<void> => {
+      bump('requests');
+      const d = f.dialect;
+      const refuse = (r: Parameters<Dialect['refuse']>[0], after: number | null): void => {
+        const w = d.refuse(r, after);
+        if (say.gone()) return;
+        say.head(w.status, [...w.headers, 'content-length', String(Buffer.byteLength(w.body))]);
+        say.end(w.body);
+      };
+      const why = await closedFor();
+      if (why !== null)
+        return refuse({ status: 503, error: 'closed', field: null, text: why }, 0.2 + 0.3 * lens.rand.next());
+      const p = d.plan(ask, config!);
+      if (p.kind === 'refuse') {
+        bump('bad_requests');
+        return refuse(p, null);
+      }
+      return forward(f, p, say);
+    };
+
     return {
+      forward: (d) => {
+        const f: Forwarding = { edge, dialect: d, connections: pool, kept: turns, edges: fronts };
+        return async (ask, say) => {
+          try {
+            await passOn(f, ask, say);
+          } catch (e) {
+            log(`a request failed: ${fault.text(e)}.`);
+            say.cut();
+          }
+        };
+      },
       handle: async (ask, say) => {
         try {
           await handle(ask, say);
@@ -258,8 +316,10 @@
         const end = clock.now() + maxTurn;
         while (inFlight.size && clock.now() < end && !closed) await time.sleep(clock, us.ms(50));
       },
+      limits: () => config?.limits,
       counts: () => ({
         ...c,
+        ...Object.fromEntries(Object.entries(pool.counts()).map(([k, v]) => [`connections_${k}`, v])),
         ...adm.counts(),
         in_flight: inFlight.size,
         holding: adm.held(),
@@ -272,6 +332,7 @@
         closed = true;
         for (const s of stops) s();
         adm.close();
+        pool.close();
       },
     };
   },
--- a/packages/fairway/src/job.ts
+++ b/packages/fairway/src/job.ts
@@ -1,7 +1,7 @@
 // Carrying out a job (§5.1), a function for each stage: claim, slot, send, result.
 import { formats, type WorkerEntry } from '@thornsail/berth';
 import { fault, us, type HttpResult, type HttpSay, type Us } from '@thornsail/lens';
-import type { Job } from './books.js';
+import { keyOf, type Job } from './books.js';
 import { claimKey, silenceLimit, slotLimit, worker, type Edge } from './edge.js';
 import type { Ran } from './say.js';
 import { stages, type Stages } from './stage.js';
@@ -26,7 +26,7 @@
 const close = (r: Run): void => {
   if (!r.claimed) return;
   r.closing = true;
-  void r.x.books.unclaim(r.p, r.turn).finally(() => r.x.inFlight.delete(r.turn));
+  void r.x.books.unclaim(keyOf(r.p), r.turn).finally(() => r.x.inFlight.delete(r.turn));
 };
 const no = (r: Run, status: number, error: string, text: string, retryAfter: number | null, ran?: Ran): 'done' => {
   r.st.go('reject');
@@ -86,7 +86,7 @@
   const type = res.headers['content-type'] ?? 'application/json';
   const done = { status: res.status, type, body, finish: null, prompt: 0, completion: 0 };
   r.st.go('relay');
-  if (r.claimed) await r.x.books.record(r.p, r.turn, done);
+  if (r.claimed) await r.x.books.record(keyOf(r.p), r.turn, done);
   r.st.go('end');
   r.x.bump('results');
   if (r.say.gone()) return;
--- a/packages/fairway/src/relay.ts
+++ b/packages/fairway/src/relay.ts
@@ -1,7 +1,7 @@
 // Relaying a worker's stream to its caller (§5.6): counted, numbered, ended or visibly cut.
 import { formats, type Piece } from '@thornsail/berth';
 import { fault, time, us, type HttpResult, type HttpSay, type Us } from '@thornsail/lens';
-import type { Chat } from './books.js';
+import { accountOf, keyOf, type Chat } from './books.js';
 import type { Edge } from './edge.js';
 import { completion as completionOf } from './say.js';
 import type { Stages } from './stage.js';
@@ -86,12 +86,12 @@
     const tokens = prompt + (completion ?? count);
     // Beside one another: the client hears nothing meanwhile.
     const settled = books
-      .settle(p, turn, { actual, tokens, worker: x.worker }, closeLimit)
+      .settle(accountOf(p), turn, { actual, tokens, worker: x.worker }, closeLimit)
       .catch((err) => log(`a turn was not settled and stays charged: ${fault.text(err)}.`));
     const reply = { role: 'assistant', content, ...(tools.size ? { tool_calls: [...tools.values()] } : {}) };
     if (p.conversation !== null) await books.append(p, x.first, x.base, [...p.messages, reply], closeLimit);
     if (x.claimed)
-      await books.record(p, x.first, {
+      await books.record(keyOf(p), x.first, {
         status: 200,
         type: 'chat',
         body: content,
--- a/packages/fairway/src/stage.ts
+++ b/packages/fairway/src/stage.ts
@@ -22,6 +22,7 @@
   open: (): Stages => {
     const s = interpret(machine, () => undefined);
     let everSent = false;
+    let everLost = false;
     const now = (): Stage => s.machine.current as Stage;
     return {
       now,
@@ -31,8 +32,9 @@
         invariant.hold(now() !== was, `a turn cannot ${m} when it is ${was}`);
         if (m === 'send') everSent = true;
         if (m === 'unsent') everSent = false;
+        if (m === 'lose') everLost = true;
       },
-      ran: () => (everSent ? 'unknown' : 'no'),
+      ran: () => (everSent || everLost ? 'unknown' : 'no'),
     };
   },
 };
--- a/packages/fog/src/world.ts
+++ b/packages/fog/src/world.ts
@@ -5,8 +5,10 @@
   place,
   seeded,
   us,
+  type Connection,
   type Disk,
   type Frames,
+  type HttpAsk,
   type HttpCall,
   type HttpHandler,
   type HttpResult,
@@ -72,6 +74,100 @@
 };
 const base = 1_790_000_000_000_000;
 
+/** What both ways of calling share: the body as bytes. `onSent` is told when the other side gets the request. */
+type BytesCall = Omit<HttpCall, 'body' | 'headers'> & {
+  body?: string | Uint8Array;
+  headers?: Record<string, string>;
+  rawHeaders?: readonly string[];
+};
+type BytesResult = Omit<HttpResult, 'body'> & { body: AsyncIterable<Uint8Array> };
+type CallBytes = (req: BytesCall, onSent?: () => void) => Promise<BytesResult>;
+
+const bytesOf = (piece: string | Uint8Array): Uint8Array =>
+  typeof piece === 'string' ? Buffer.from(piece, 'utf8') : piece;
+const textOf = async function* (body: AsyncIterable<Uint8Array>): AsyncIterable<string> {
+  const dec = new TextDecoder();
+  for await (const b of body) yield dec.decode(b, { stream: true });
+  const rest = dec.decode();
+  if (rest) yield rest;
+};
+const tableOf = (headers: Record<string, string> | readonly string[]): Record<string, string> =>
+  Object.fromEntries(
+    (Array.isArray(headers)
+      ? Array.from({ length: headers.length / 2 }, (_, i) => [headers[2 * i]!, headers[2 * i + 1]!] as const)
+      : Object.entries(headers)
+    ).map(([k, v]) => [k.toLowerCase(), v]),
+  );
+const askOf = (req: BytesCall): HttpAsk => {
+  const u = new URL(req.path, 'http://x');
+  const bytes = bytesOf(req.body ?? '');
+  const rawHeaders = req.rawHeaders ?? Object.entries(req.headers ?? {}).flat();
+  return {
+    method: req.method,
+    path: u.pathname,
+    query: Object.fromEntries(u.searchParams),
+    target: req.path,
+    headers: tableOf(rawHeaders),
+    rawHeaders,
+    bytes,
+    body: Buffer.from(bytes).toString('utf8'),
+    tooBig: false,
+  };
+};
+const forEver: Us = us.s(100_000);
+/** A connection over the same simulated calls: one exchange at a time, closed for good once one of them fails. */
+const connectionOf = (callBytes: CallBytes, at: Place, o: { onClosed?: () => void }): Connection => {
+  let up = true;
+  const closed = (): void => {
+    if (!up) return;
+    up = false;
+    o.onClosed?.();
+  };
+  const exchange: Connection['exchange'] = (x, on) => {
+    let paused: Promise<void> | undefined;
+    let go: () => void = () => undefined;
+    let cut: (() => void) | undefined;
+    let off = false;
+    const run = async (): Promise<void> => {
+      const call: BytesCall = { at, method: x.method, path: x.target, rawHeaders: x.headers, timeLeft: forEver };
+      const r = await callBytes({ ...call, silence: forEver, ...(x.body ? { body: x.body } : {}) }, on.sent);
+      cut = r.cut;
+      if (off) return r.cut();
+      on.head(r.status, r.headers, Object.entries(r.headers).flat());
+      for await (const bytes of r.body) {
+        if (paused) await paused;
+        if (off) return;
+        on.data(bytes);
+      }
+      if (r.headers['connection'] === 'close') closed();
+      if (!off) on.end();
+    };
+    run().catch((e: Error) => {
+      closed();
+      if (!off) on.fail(e);
+    });
+    return {
+      pause: () => {
+        paused ??= new Promise<void>((fin) => {
+          go = fin;
+        });
+      },
+      resume: () => {
+        paused = undefined;
+        go();
+      },
+      cut: () => {
+        if (off) return;
+        off = true;
+        cut?.();
+        closed();
+        on.fail(fault.make({ step: 'exchange', sibling: at, code: 'cut' }, 'cut'));
+      },
+    };
+  };
+  return { exchange, open: () => up, close: closed };
+};
+
 export const world = {
   open: (o: { seed: number; zoneDelay: Us; clientDelay: Us; clientIp: string; diskTime?: Us }): World => {
     const rand = seeded(o.seed);
@@ -147,7 +243,7 @@
     };
     const hostOf = (p: Place): Host | undefined => hosts.get(place.host(p));
 
-    const netOf = (h: Host): Net => ({
+    const netOf = (h: Host, callBytes: CallBytes): Net => ({
       frames: async (at, onFrame, onDown): Promise<Frames> => {
         if (h.frames.has(at)) throw fault.make({ step: 'frames.bind', sibling: at }, 'address in use');
         const mine = { got: onFrame, down: onDown ?? ((): void => undefined), to: new Set<Place>() };
@@ -194,8 +290,16 @@
           },
         };
       },
-      call: (req: HttpCall) =>
-        new Promise<HttpResult>((done, fail) => {
+      call: async (req: HttpCall) => {
+        const r = await callBytes(req);
+        return { ...r, body: textOf(r.body) };
+      },
+      connect: (at, o) => connectionOf(callBytes, at, o),
+    });
+    const callerOf =
+      (h: Host): CallBytes =>
+      (req, onSent) =>
+        new Promise<BytesResult>((done, fail) => {
           c.http += 1;
           const t = hostOf(req.at);
           let phase: 'connect' | 'sent' | 'head' | 'end' = 'connect';
@@ -226,7 +330,7 @@
             }
           });
           // The body: pieces in order, then an end or a break.
-          const pieces: string[] = [];
+          const pieces: Uint8Array[] = [];
           let over: 'end' | 'cut' | null = null;
           let wakeUp: (() => void) | null = null;
           const nudge = (): void => {
@@ -291,7 +395,7 @@
                 phase = 'head';
                 done({
                   status,
-                  headers: Object.fromEntries(Object.entries(headers).map(([k, v]) => [k.toLowerCase(), v])),
+                  headers: tableOf(headers),
                   body: body(),
                   cut: () => {
                     if (phase !== 'end') {
@@ -303,10 +407,11 @@
                   },
                 });
               }),
-            write: (text) => {
-              buffered += text.length;
+            write: (piece) => {
+              const bytes = bytesOf(piece);
+              buffered += bytes.length;
               toCaller(() => {
-                pieces.push(text);
+                pieces.push(bytes);
                 nudge();
               });
               return buffered < 65_536;
@@ -316,10 +421,10 @@
                 if (buffered < 65_536 || isGone) fin();
                 else drainFns.push(fin);
               }),
-            end: (text) => {
-              if (text !== undefined)
+            end: (piece) => {
+              if (piece !== undefined)
                 toCaller(() => {
-                  pieces.push(text);
+                  pieces.push(bytesOf(piece));
                 });
               toCaller(() => {
                 if (over === null) {
@@ -350,7 +455,7 @@
             });
           };
           const silence = req.silence ?? us.s(30);
-          const body = async function* (): AsyncIterable<string> {
+          const body = async function* (): AsyncIterable<Uint8Array> {
             try {
               for (;;) {
                 if (pieces.length) {
@@ -402,24 +507,16 @@
             // The pipe is open; the request itself follows.
             if (phase !== 'connect') return;
             phase = 'sent';
+            onSent?.();
             t.open.add(theirs);
-            const u = new URL(req.path, 'http://x');
-            const ask = {
-              method: req.method,
-              path: u.pathname,
-              query: Object.fromEntries(u.searchParams),
-              headers: Object.fromEntries(Object.entries(req.headers ?? {}).map(([k, v]) => [k.toLowerCase(), v])),
-              body: req.body ?? '',
-              tooBig: false,
-            };
+            const ask = askOf(req);
             fold(`${req.method}${req.path}`);
             Promise.resolve()
               .then(() => handler(ask, say))
               .catch(() => say.cut());
           });
           if (!t.alive && !t.dark) later(delay(h, t) * 2, h, rejectCall);
-        }),
-    });
+        });
 
     const diskOf = (h: Host): Disk => {
       const inc = h.inc;
@@ -520,7 +617,7 @@
           },
           rand: r,
           disk: diskOf(h),
-          net: netOf(h),
+          net: netOf(h, callerOf(h)),
           log: (part) => (text) => logger(now, h.ip, part, text),
         };
       },
--- a/packages/fog/test/input.test.ts
+++ b/packages/fog/test/input.test.ts
@@ -45,12 +45,18 @@
       '/v1/conversations/__proto__',
       '/',
     ]);
+    const method = pick(r, ['POST', 'GET', 'BREW']);
+    const h = headers(r);
+    const body = text(r);
     const ask: HttpAsk = {
-      method: pick(r, ['POST', 'GET', 'BREW']),
+      method,
       path,
       query: {},
-      headers: headers(r),
-      body: text(r),
+      target: path,
+      headers: h,
+      rawHeaders: Object.entries(h).flat(),
+      bytes: Buffer.from(body, 'utf8'),
+      body,
       tooBig: false,
     };
     const p = plan.make(ask, c.value);
--- a/packages/harbour/src/index.ts
+++ b/packages/harbour/src/index.ts
@@ -1,7 +1,17 @@
 // harbour: the platform that lists the workers and marks those that are leaving (§3.8).
 import { fault, place, time, us, wholeText, type Lens, type Place, type Us } from '@thornsail/lens';
 
-export type PlatformWorker = { id: string; at: Place; kind: 'model' | 'app'; leaving: boolean };
+/** What is left out is not known from the list: the configuration says it, or the worker itself. */
+export type PlatformWorker = {
+  id: string;
+  at: Place;
+  kind: 'model' | 'app';
+  leaving: boolean;
+  service?: string;
+  slots?: number;
+  cacheTokens?: number;
+  zone?: string;
+};
 
 /** How long an empty list has to stand before it is believed. */
 const emptyFor = us.s(30);
@@ -27,11 +37,23 @@
   });
 };
 
+const ownFormat = async (lens: Lens, platform: Place): Promise<PlatformWorker[]> => {
+  const limit = us.ms(700);
+  const r = await lens.net.call({ at: platform, method: 'GET', path: '/workers', timeLeft: limit, silence: limit });
+  const list = parse(await wholeText(r.body));
+  if (r.status !== 200) throw new Error(`status ${r.status}`);
+  return list;
+};
+
 export const harbour = {
   open: (o: {
     lens: Lens;
-    platform: Place;
+    /** How the list is read; left out: by our own format, at `platform`. */
+    read?: () => Promise<PlatformWorker[]>;
+    platform?: Place;
     every?: Us;
+    /** Whether the list is to be read now: one reader of many is enough (§3.8). */
+    due?: () => boolean;
     onList: (list: PlatformWorker[]) => void;
   }): { okAt: () => Us | undefined; close: () => void } => {
     const log = o.lens.log('harbour');
@@ -46,15 +68,8 @@
     };
     const poll = async (): Promise<void> => {
       try {
-        const r = await o.lens.net.call({
-          at: o.platform,
-          method: 'GET',
-          path: '/workers',
-          timeLeft: us.ms(700),
-          silence: us.ms(700),
-        });
-        const list = parse(await wholeText(r.body));
-        if (r.status !== 200) throw new Error(`status ${r.status}`);
+        if (o.due && !o.due()) return;
+        const list = await (o.read ? o.read() : ownFormat(o.lens, o.platform!));
         doubt(list);
         okAt = o.lens.clock.now();
         if (failed) log('the platform is back.');
--- /dev/null
+++ b/packages/lens/src/connection.ts
@@ -0,0 +1,104 @@
+// One connection to a worker, by undici's client (§5.7). What is kept, for how long and how many there may be is for
+// `fairway` to say: here is only the exchange itself, and whether anything of it was sent.
+import { Client, type Dispatcher } from 'undici';
+import { fault, type Connection, type ExchangeEvents, type Net } from './index.js';
+
+const flat = (h: Record<string, string | string[] | undefined>): Record<string, string> => {
+  const o: Record<string, string> = {};
+  for (const [k, v] of Object.entries(h))
+    if (v !== undefined) o[k.toLowerCase()] = Array.isArray(v) ? v.join(', ') : String(v);
+  return o;
+};
+/** Names and values as they came, where the library still has them as bytes. */
+const rawOf = (c: Dispatcher.DispatchController, headers: Record<string, string | string[] | undefined>): string[] => {
+  const raw = (c as unknown as { rawHeaders?: (Buffer | string)[] | null }).rawHeaders;
+  if (raw) return raw.map((b) => (typeof b === 'string' ? b : b.toString('latin1')));
+  return Object.entries(headers).flatMap(([k, v]) => (Array.isArray(v) ? v : [v ?? '']).flatMap((x) => [k, x]));
+};
+
+/** undici's handler over our events; after the first end or failure nothing more is told. */
+const handlerOf = (
+  on: ExchangeEvents,
+  o: { started: (c: Dispatcher.DispatchController) => void; over: () => void; fault: (e: Error) => Error },
+): Dispatcher.DispatchHandler => {
+  let done = false;
+  return {
+    onRequestStart: (c) => {
+      o.started(c);
+      if (!done) on.sent();
+    },
+    onResponseStart: (c, status, headers) => {
+      if (!done && status >= 200) on.head(status, flat(headers), rawOf(c, headers));
+    },
+    onResponseData: (_c, chunk) => {
+      if (!done) on.data(chunk);
+    },
+    onResponseEnd: () => {
+      if (done) return;
+      done = true;
+      o.over();
+      on.end();
+    },
+    onResponseError: (_c, e) => {
+      if (done) return;
+      done = true;
+      o.over();
+      on.fail(o.fault(e));
+    },
+  };
+};
+
+export const connect: Net['connect'] = (at, o) => {
+  const client = new Client(`http://${at}`, {
+    connect: { timeout: o.connectWithin / 1000, keepAlive: true, keepAliveInitialDelay: 1_000 },
+    bodyTimeout: 0,
+    headersTimeout: 0,
+    pipelining: 1,
+    keepAliveTimeout: 600_000,
+    keepAliveMaxTimeout: 600_000,
+    keepAliveTimeoutThreshold: 0,
+  });
+  let up = true;
+  const closed = (): void => {
+    if (!up) return;
+    up = false;
+    client.destroy().catch(() => undefined);
+    o.onClosed?.();
+  };
+  client.on('disconnect', closed);
+  client.on('connectionError', closed);
+  const it: Connection = {
+    exchange: (x, on) => {
+      let control: Dispatcher.DispatchController | undefined;
+      let cut = false;
+      const failed = (e: Error): Error =>
+        fault.make({ step: 'exchange', sibling: at, code: (e as NodeJS.ErrnoException).code }, e.message, e);
+      const over = (): void => undefined;
+      const started = (c: Dispatcher.DispatchController): void => {
+        control = c;
+        if (cut) c.abort(new Error('cut'));
+      };
+      client.dispatch(
+        {
+          method: x.method as Dispatcher.HttpMethod,
+          path: x.target,
+          headers: x.headers as string[],
+          body: x.body && x.body.length ? Buffer.from(x.body.buffer, x.body.byteOffset, x.body.byteLength) : null,
+        },
+        handlerOf(on, { started, over, fault: failed }),
+      );
+      return {
+        pause: () => control?.pause(),
+        resume: () => control?.resume(),
+        cut: () => {
+          cut = true;
+          if (control) control.abort(new Error('cut'));
+          closed();
+        },
+      };
+    },
+    open: () => up && !client.destroyed && !client.closed,
+    close: closed,
+  };
+  return it;
+};
--- a/packages/lens/src/index.ts
+++ b/packages/lens/src/index.ts
@@ -47,16 +47,22 @@
   method: string;
   path: string;
   query: Record<string, string>;
+  /** Path and query as they came, byte for byte. */
+  target: string;
   headers: Record<string, string>;
+  /** Name, value, name, value: in the order and case in which they came. */
+  rawHeaders: readonly string[];
+  bytes: Uint8Array;
+  /** The bytes read as UTF-8. */
   body: string;
   tooBig: boolean;
 };
 export type HttpSay = {
-  head: (status: number, headers: Record<string, string>) => void;
+  head: (status: number, headers: Record<string, string> | readonly string[]) => void;
   /** False when the reader is slow: wait for `drained` before the next piece. */
-  write: (text: string) => boolean;
+  write: (piece: string | Uint8Array) => boolean;
   drained: () => Promise<void>;
-  end: (text?: string) => void;
+  end: (piece?: string | Uint8Array) => void;
   /** Breaks the stream off so that it cannot look complete (§5.6). */
   cut: () => void;
   gone: () => boolean;
@@ -82,12 +88,46 @@
   body: AsyncIterable<string>;
   cut: () => void;
 };
+/** One request over a connection of one's own. `target` and `body` reach the other side byte for byte. */
+export type Exchange = {
+  method: string;
+  target: string;
+  /** Name, value, name, value. */
+  headers: readonly string[];
+  body: Uint8Array | null;
+};
+export type ExchangeEvents = {
+  /** The first byte is about to be sent: from here on the request may have run. */
+  sent: () => void;
+  head: (status: number, headers: Record<string, string>, rawHeaders: readonly string[]) => void;
+  data: (bytes: Uint8Array) => void;
+  end: () => void;
+  /** The exchange is over without its end. Nothing was sent unless `sent` was called before. */
+  fail: (e: Error) => void;
+};
+export type ExchangeControl = { pause: () => void; resume: () => void; cut: () => void };
+/** One connection to a worker, that serves one exchange at a time. */
+export type Connection = {
+  exchange: (x: Exchange, on: ExchangeEvents) => ExchangeControl;
+  /** False once the other side has closed it, or it was cut. */
+  open: () => boolean;
+  close: () => void;
+};
 /** A whole body as text. */
 export const wholeText = async (body: AsyncIterable<string>): Promise<string> => {
   let s = '';
   for await (const p of body) s += p;
   return s;
 };
+/** What callers may send, asked anew for each request; times in microseconds. */
+export type HttpLimits = {
+  maxBody: () => number;
+  /** Fixed at the start. */
+  maxHeader?: number;
+  headersWithin?: () => Us;
+  idleFor?: () => Us;
+};
+export type HttpServer = { at: Place; close: () => Promise<void> };
 export type Net = {
   /** `onDown` says that the pipe to a sibling broke or did not come up: what was sent may or may not have arrived. */
   frames: (
@@ -98,8 +138,10 @@
     /** A pipe was broken off for what came over it. */
     onBad?: (from: Place, why: string) => void,
   ) => Promise<Frames>;
-  serve: (at: Place, handler: HttpHandler, maxBody: number) => Promise<{ at: Place; close: () => Promise<void> }>;
+  serve: (at: Place, handler: HttpHandler, limits: number | HttpLimits) => Promise<HttpServer>;
   call: (c: HttpCall) => Promise<HttpResult>;
+  /** Not opened before its first exchange; that fails if it does not come up within `connectWithin`. */
+  connect: (at: Place, o: { connectWithin: Us; onClosed?: () => void }) => Connection;
 };
 
 export type Log = (text: string) => void;
--- a/packages/lens/src/real.ts
+++ b/packages/lens/src/real.ts
@@ -7,6 +7,7 @@
 import debug from 'debug';
 import polka from 'polka';
 import { Agent, Client, request, type Dispatcher } from 'undici';
+import { connect } from './connection.js';
 import {
   fault,
   place,
@@ -14,8 +15,10 @@
   type Clock,
   type Disk,
   type Frames,
+  type HttpAsk,
   type HttpCall,
   type HttpHandler,
+  type HttpLimits,
   type HttpResult,
   type HttpSay,
   type Lens,
@@ -219,8 +222,11 @@
 };
 
 const say = (res: http.ServerResponse): HttpSay => ({
-  head: (status, headers) => void res.writeHead(status, headers),
-  write: (text) => res.destroyed || res.write(text),
+  head: (status, headers) =>
+    void (Array.isArray(headers)
+      ? res.writeHead(status, headers as string[])
+      : res.writeHead(status, headers as Record<string, string>)),
+  write: (piece) => res.destroyed || res.write(piece),
   drained: () =>
     new Promise((fin) => {
       if (res.destroyed || !res.writableNeedDrain) {
@@ -230,7 +236,7 @@
       res.once('drain', fin);
       res.once('close', fin);
     }),
-  end: (text) => void res.end(text),
+  end: (piece) => void res.end(piece),
   cut: () => void res.destroy(),
   gone: () => res.destroyed,
   onGone: (fn) => void res.once('close', fn),
@@ -238,50 +244,72 @@
 
 /** A handler as Node's own servers call it; for a path that is not `ours` the next one is called, if there is one. */
 export type Listener = (req: http.IncomingMessage, res: http.ServerResponse, next?: () => void) => void;
+const asked = (req: http.IncomingMessage, u: URL, bytes: Buffer, tooBig: boolean): HttpAsk => {
+  let text: string | undefined;
+  const ask: HttpAsk = {
+    method: req.method ?? 'GET',
+    path: u.pathname,
+    query: Object.fromEntries(u.searchParams),
+    target: req.url ?? '/',
+    headers: flat(req.headers),
+    rawHeaders: req.rawHeaders,
+    bytes,
+    body: '',
+    tooBig,
+  };
+  // Most requests are passed on as bytes: their text is made only if somebody reads it.
+  return Object.defineProperty(ask, 'body', { get: () => (text ??= bytes.toString('utf8')), enumerable: true });
+};
+const addressOf = (req: http.IncomingMessage): URL | undefined => {
+  try {
+    return new URL(req.url ?? '/', 'http://x');
+  } catch {
+    return undefined;
+  }
+};
 const listener =
-  (handler: HttpHandler, maxBody: number, ours: (path: string) => boolean = () => true): Listener =>
+  (handler: HttpHandler, maxBody: number | (() => number), ours: (path: string) => boolean = () => true): Listener =>
   (req, res, next) => {
     const out = say(res);
-    let u: URL;
-    try {
-      u = new URL(req.url ?? '/', 'http://x');
-    } catch {
+    const u = addressOf(req);
+    if (!u) {
       out.head(400, { 'content-type': 'application/json' });
       out.end('{"error":"bad_field","field":"path","ran":"no"}');
       return;
     }
     if (next && !ours(u.pathname)) return next();
+    const most = typeof maxBody === 'number' ? maxBody : maxBody();
     const parts: Buffer[] = [];
     let size = 0;
     let tooBig = false;
     req.on('data', (d: Buffer) => {
       size += d.length;
-      if (size > maxBody) {
+      if (size > most) {
         tooBig = true;
         parts.length = 0;
       } else parts.push(d);
-      if (size > maxBody * 4) req.destroy();
+      if (size > most * 4) req.destroy();
     });
     req.on('end', () => {
-      const ask = {
-        method: req.method ?? 'GET',
-        path: u.pathname,
-        query: Object.fromEntries(u.searchParams),
-        headers: flat(req.headers),
-        body: Buffer.concat(parts).toString('utf8'),
-        tooBig,
-      };
+      const ask = asked(req, u, parts.length === 1 ? parts[0]! : Buffer.concat(parts), tooBig);
       Promise.resolve()
         .then(() => handler(ask, out))
         .catch(() => out.cut());
     });
   };
 
-const serve: Net['serve'] = (at, handler, maxBody) =>
+const serve: Net['serve'] = (at, handler, limits) =>
   new Promise((done, fail) => {
-    const server = http.createServer();
-    server.keepAliveTimeout = 5_000;
-    const listen = listener(handler, maxBody);
+    const l: HttpLimits = typeof limits === 'number' ? { maxBody: () => limits } : limits;
+    const server = http.createServer({ ...(l.maxHeader ? { maxHeaderSize: l.maxHeader } : {}) });
+    const setTimes = (): void => {
+      server.keepAliveTimeout = l.idleFor ? l.idleFor() / 1000 : 5_000;
+      if (l.headersWithin) server.headersTimeout = l.headersWithin() / 1000;
+    };
+    setTimes();
+    const times = setInterval(setTimes, 1_000);
+    times.unref();
+    const listen = listener(handler, l.maxBody);
     const app = polka({
       server,
       onError: (_e, _req, res) => void (res as http.ServerResponse).destroy(),
@@ -294,6 +322,7 @@
         at: `${a.address}:${a.port}`,
         close: () =>
           new Promise((fin) => {
+            clearInterval(times);
             server.close(() => fin());
             server.closeIdleConnections();
           }),
@@ -374,7 +403,13 @@
 
 export const real = {
   listener,
-  lens: (folder: string): Lens => ({ clock, rand, disk: files(folder), net: { frames, serve, call }, log: logs }),
+  lens: (folder: string): Lens => ({
+    clock,
+    rand,
+    disk: files(folder),
+    net: { frames, serve, call, connect },
+    log: logs,
+  }),
   /** What a daemon says unless DEBUG says otherwise: all parts but the one that speaks for each program. */
   logsByDefault: (): void => {
     if (process.env['DEBUG'] === undefined) debug.enable('thornsail:*,-thornsail:pilotage');
--- a/packages/mooring/src/index.ts
+++ b/packages/mooring/src/index.ts
@@ -33,6 +33,8 @@
   /** How often this process was found to have slept. */
   freezes: () => number;
   refresh: (timeLeft?: Us) => Promise<boolean>;
+  /** Further places at which a sibling may be found. */
+  learn: (places: Place[]) => void;
   onState: (fn: (s: Ordered, mark: number) => void) => void;
   leave: () => Promise<void>;
   close: () => void;
@@ -236,6 +238,7 @@
       inRoster,
       stale,
       refresh,
+      learn: (places) => remember(places.map((p) => ({ place: p, role: '' as NodeRole }))),
       mark: () => marked()?.seq ?? 0,
       inc: () => inc,
       freezes: () => slept,
--- a/packages/pilotage/src/index.ts
+++ b/packages/pilotage/src/index.ts
@@ -33,6 +33,8 @@
   touched: Us;
   actingSince: Us;
   pausedAt: Us;
+  /** When it has ended by what its caller said; Infinity if nothing was said. */
+  endsAt: Us;
 };
 export type Held = { turn: string; program: string; since: Us; forceAt: Us };
 export type Worker = { id: string; capacity: number; eligible: boolean };
@@ -72,6 +74,8 @@
       timeLeft: Us;
       expected: Us;
       silence: Us;
+      /** Until the program should be over; with no turn in flight it has ended then (§4.3). */
+      remaining?: Us;
       known?: { tokens: number; worker: string | null };
     }
   | { kind: 'grow'; program: string; tokens: number }
@@ -264,7 +268,8 @@
   const out: Effect[] = [];
   const held = heldByProgram(s);
   for (const p of s.programs.values()) {
-    if (p.turn !== null || now - p.touched < s.options.retention || held.has(p.id)) continue;
+    if (p.turn !== null || held.has(p.id)) continue;
+    if (now - p.touched < s.options.retention && now < p.endsAt) continue;
     s.programs.delete(p.id);
     s.counts.expired += 1;
     out.push({ kind: 'ended', program: p.id, why: 'idle' });
@@ -303,10 +308,12 @@
       touched: now,
       actingSince: now,
       pausedAt: 0,
+      endsAt: Infinity,
     };
     s.programs.set(p.id, p);
   } else if (e.known && p.turn === null) p.tokens = Math.max(p.tokens, e.known.tokens);
   p.touched = now;
+  if (e.remaining !== undefined) p.endsAt = now + e.remaining;
   if (p.turn === null) p.tokens = Math.max(p.tokens, e.tokens);
   const busy = p.turn !== null || heldOf(s, p.id) !== undefined;
   if (p.standing === 'active' && !busy) return [...out, release(s, e.turn, p, 'ordinary', 0, now)];
--- a/packages/signal/src/index.ts
+++ b/packages/signal/src/index.ts
@@ -6,9 +6,9 @@
 import type { Registers } from '@thornsail/keeper';
 import type { Mooring } from '@thornsail/mooring';
 import type { Pipe } from '@thornsail/pipe';
-import { order, type Member, type Ordered, type Push, type PushResult } from '@thornsail/tower';
+import { order, type Ordered, type Push } from '@thornsail/tower';
+import { control, drainState, type ReadResult as Read } from './control.js';
 
-export type ReadResult = { state: Ordered; view: number; members: Member[]; news: NewsResult | null };
 export type NewsResult = {
   workers: { id: string; at: Place; kind: string; leaving: boolean }[];
   loads: Record<string, unknown>;
@@ -25,8 +25,8 @@
   counts: () => Record<string, number>;
   drain: () => Promise<void>;
 };
+export { control, type Control, type DrainState } from './control.js';
 export const root = '/thornsail/v1';
-const pushLimit = us.s(5);
 
 const json = (say: HttpSay, status: number, body: unknown, headers: Record<string, string> = {}): void => {
   say.head(status, { 'content-type': 'application/json', ...headers });
@@ -39,6 +39,11 @@
     return undefined;
   }
 };
+const drainWords = {
+  safe: 'safe to remove',
+  waiting: 'waiting for its turn',
+  copying: 'copying to the new group',
+};
 const metrics = (n: SignalNode): string => {
   const lines: string[] = [];
   const label = `{role="${n.role}",name="${n.name}"}`;
@@ -55,8 +60,9 @@
 
 export const signal = {
   handler: (n: SignalNode): HttpHandler => {
-    const read = (): Promise<{ seq: number; value: ReadResult }> =>
-      n.mooring.core.ask<ReadResult>({ op: 'read' }, us.s(3));
+    const ctl = control.open({ lens: n.lens, mooring: n.mooring });
+    const read = (): Promise<{ seq: number; value: Read<NewsResult> }> =>
+      ctl.read() as Promise<{ seq: number; value: Read<NewsResult> }>;
     /** What a change would do, without doing it (§7.2). */
     const plan = async (say: HttpSay, how: Push['how'], base: number, body: unknown): Promise<void> => {
       const {
@@ -72,15 +78,6 @@
       if (!p.ok) return json(say, 422, { error: 'invalid', mark: s.config.mark, problems: p.problems });
       return json(say, 200, { mark: s.config.mark, plan: p.steps });
     };
-    /** The same push again, which has one effect, until the fronts use it or its time is out (§7.2). */
-    const pushUntilUsed = async (p: Push): Promise<PushResult> => {
-      const end = n.lens.clock.now() + pushLimit;
-      for (;;) {
-        const left = Math.max(us.s(1), end - n.lens.clock.now());
-        const { value } = await n.mooring.core.ask<PushResult>({ op: 'push', push: p }, left);
-        if (value.ok || value.why !== 'unconfirmed' || n.lens.clock.now() >= end) return value;
-      }
-    };
     const push = async (ask: HttpAsk, say: HttpSay): Promise<void> => {
       if (ask.tooBig) return json(say, 413, { error: 'too_large', field: 'body' });
       let body: unknown;
@@ -110,7 +107,7 @@
         const c = chart.check(body);
         if (!c.ok) return json(say, 422, { error: 'invalid', problems: c.problems });
       }
-      const v = await pushUntilUsed({ id, base: Number(base), how, body });
+      const v = await ctl.push({ id, base: Number(base), how, body });
       if (v.ok)
         return json(say, 200, { mark: v.mark, push: id, repeated: v.repeated === true }, { etag: `"${v.mark}"` });
       if (v.why === 'unconfirmed') {
@@ -196,20 +193,15 @@
       const node = found[0]!;
       const on = ask.method !== 'DELETE';
       if (node.role === 'keeper') {
-        if (ask.method !== 'GET') await n.mooring.core.ask({ op: 'drain', id: node.id, on }, us.s(4));
+        if (ask.method !== 'GET') {
+          const { value: taken } = await n.mooring.core.ask<boolean>({ op: 'drain', id: node.id, on }, us.s(4));
+          if (!taken) return json(say, 409, { error: 'too_few', message: 'too few keepers would be left' });
+        }
         const now = (await read()).value.state;
         const k = now.keepers;
-        const member = k.members.some((m) => m.id === node.id);
-        const safe = k.draining.includes(node.id) && !member && k.swept === k.mark;
-        const progress = k.draining.includes(node.id)
-          ? safe
-            ? 'safe to remove'
-            : member
-              ? k.swept === k.mark
-                ? 'waiting for its turn'
-                : 'copying to the new group'
-              : 'copying to the new group'
-          : 'not draining';
+        const how = drainState(now, node);
+        const safe = how === 'safe';
+        const progress = { ...drainWords, unknown: '', 'too-few': '', 'not draining': 'not draining' }[how];
         return json(say, 200, {
           node: node.name,
           id: node.id,
--- a/packages/thornsail/src/index.ts
+++ b/packages/thornsail/src/index.ts
@@ -1,3 +1,3 @@
-export { roles, type Node } from './roles.js';
+export { roles, type Node, type ReadWorkers } from './roles.js';
 export { survey, type Finding } from './survey.js';
 export { embed, type Embedded, type EmbedOptions } from './embed.js';
--- a/packages/thornsail/src/roles.ts
+++ b/packages/thornsail/src/roles.ts
@@ -1,13 +1,14 @@
 // The roles (§1.2). Each is given its lens and its checked options, and runs as well in fog as on a machine.
 import { workersOf, fairway, type EdgeLoad, type Fairway } from '@thornsail/fairway';
 import type { FrontOptions, KeeperOptions, PilotOptions, TowerOptions } from '@thornsail/chart';
-import { harbour } from '@thornsail/harbour';
+import { harbour, type PlatformWorker } from '@thornsail/harbour';
 import { registers, store, sweep, type Group, type Registers } from '@thornsail/keeper';
-import { fault, invariant, time, us, type HttpHandler, type Lens, type Place } from '@thornsail/lens';
+import { fault, invariant, time, us, type HttpHandler, type Lens, type Place, type Us } from '@thornsail/lens';
+import type { WorkerEntry } from '@thornsail/berth';
 import { logbook } from '@thornsail/logbook';
 import { mooring, type Mooring } from '@thornsail/mooring';
 import { pipe, shape, type Pipe } from '@thornsail/pipe';
-import { root, signal, type NewsResult, type SignalNode } from '@thornsail/signal';
+import { control, root, signal, type Control, type NewsResult, type SignalNode } from '@thornsail/signal';
 import { core, order, type Ordered, type Marked } from '@thornsail/tower';
 import { watch } from '@thornsail/watch';
 
@@ -18,6 +19,8 @@
   place: Place;
   mooring: Mooring;
   registers: Registers;
+  /** What an operator may ask of this node, for interfaces of one's own. */
+  control: Control;
   ready: () => { ok: boolean; why: string[] };
   counts: () => Record<string, number>;
   /** Stops taking new work, finishes what runs, and leaves the roster. */
@@ -95,6 +98,7 @@
     place: x.pipe.at,
     mooring: x.mooring,
     registers: x.registers,
+    control: control.open({ lens: x.lens, mooring: x.mooring }),
     ready: x.ready,
     counts: x.counts,
     drain,
@@ -155,6 +159,19 @@
   };
 };
 
+export type ReadWorkers = (known: (id: string) => WorkerEntry | undefined) => Promise<PlatformWorker[]>;
+/**
+ * One pilot's reading of the list serves all: the first of those that live reads it when the newest list is old enough,
+ * the next ones only if nothing came for a while longer (§3.8). Nobody has to be elected, and nobody's loss is felt.
+ */
+const listDue = (m: Mooring, now: Us): boolean => {
+  const newest = Math.max(-Infinity, ...m.beam.all('workers/').map((x) => x.item.at));
+  const s = m.state();
+  const pilots = s ? order.live(s, 'pilot').map((n) => n.id) : [];
+  const rank = Math.max(0, pilots.indexOf(m.id));
+  return now - newest >= us.ms(850) + rank * us.ms(200);
+};
+
 export const roles = {
   tower: async (lens: Lens, o: TowerOptions): Promise<Node> => {
     const p = await pipe.open(lens, o.place);
@@ -179,6 +196,7 @@
         return l === undefined ? -1 : (l.uses ?? Infinity);
       },
       onLead: (mark) => here.moor?.beam.put('core', mark, {}),
+      times: { keepers: 2 * o.tolerates + 1, towers: 2 * o.tolerates + 1, leastKeepers: o.leastKeepers },
       news: (): NewsResult => ({
         workers: here.moor ? workersOf(here.moor.beam, lens.clock.now(), undefined) : [],
         loads: Object.fromEntries((here.moor?.beam.all('load/') ?? []).map((x) => [x.name.slice(5), x.item.value])),
@@ -288,7 +306,11 @@
     });
   },
 
-  pilot: async (lens: Lens, o: PilotOptions): Promise<Node> => {
+  /**
+   * `read` brings the list of workers in a format of one's own; it is told what is known of a worker already, so that
+   * nobody is asked twice.
+   */
+  pilot: async (lens: Lens, o: PilotOptions, extra: { read?: ReadWorkers } = {}): Promise<Node> => {
     const p = await pipe.open(lens, o.place);
     const id = `pilot-${lens.rand.id()}`;
     const m = mooring.open({
@@ -305,9 +327,13 @@
     let mark = 0;
     let last = '';
     let lastPut = 0;
+    const known = (worker: string): WorkerEntry | undefined =>
+      workersOf(m.beam, lens.clock.now(), undefined).find((w) => w.id === worker);
+    const { read } = extra;
     const h = harbour.open({
       lens,
       platform: o.platform,
+      ...(read ? { read: () => read(known), due: () => listDue(m, lens.clock.now()), every: us.ms(100) } : {}),
       onList: (list) => {
         const text = JSON.stringify(list);
         const now = lens.clock.now();
--- a/packages/tower/src/core.ts
+++ b/packages/tower/src/core.ts
@@ -49,6 +49,7 @@
     push: shape.has({
       id: shape.text,
       base: shape.whole,
+      revision: shape.maybe(shape.whole),
       how: shape.one('whole', 'merge', 'patch'),
       body: shape.any,
     }),
@@ -63,7 +64,14 @@
 );
 
 export type Core = { views: Views<Ordered>; close: () => void };
-export type CoreTimes = { suspectFor: Us; replaceAfter: Us; keepers: number };
+/** `keepers` and `towers` are the sizes of the groups; a drain never leaves fewer than `leastKeepers`. */
+export type CoreTimes = {
+  suspectFor: Us;
+  replaceAfter: Us;
+  keepers: number;
+  towers: number;
+  leastKeepers: number;
+};
 
 /** Those whose zone holds none yet come first. */
 const spreadOver = (nodes: NodeEntry[], zones: string[]): NodeEntry[] => {
@@ -87,7 +95,14 @@
     times?: Partial<CoreTimes>;
   }): Promise<Core> => {
     const { lens, pipe } = o;
-    const T: CoreTimes = { suspectFor: us.ms(1500), replaceAfter: us.s(3), keepers: 3, ...o.times };
+    const T: CoreTimes = {
+      suspectFor: us.ms(1500),
+      replaceAfter: us.s(3),
+      keepers: 3,
+      towers: 3,
+      leastKeepers: 0,
+      ...o.times,
+    };
     const log = lens.log('tower');
     const v = await views.open<Ordered>({
       lens,
@@ -104,7 +119,7 @@
     const push = async (p: Push): Promise<{ seq: number; result: PushResult }> => {
       const r = await v.propose<PushResult>((s) => order.push(s, p, lens.clock.wall()));
       const { result } = r;
-      if (!result.ok || !o.uses) return r;
+      if (!result.ok || !o.uses || v.done()?.state.config.value?.acknowledge === 'agreed') return r;
       const end = lens.clock.now() + confirmWithin;
       for (;;) {
         const s = v.done()?.state;
@@ -124,7 +139,7 @@
         case 'swept':
           return v.propose((s) => order.swept(s, ask.mark));
         case 'drain':
-          return v.propose((s) => order.drain(s, ask.id, ask.on));
+          return v.propose((s) => order.drain(s, ask.id, ask.on, T.leastKeepers));
         case 'read': {
           const d = await v.agreed();
           return { seq: d.seq, result: { state: d.state, view: d.view, members: d.members, news: o.news?.() ?? null } };
@@ -235,7 +250,7 @@
       const d = v.done();
       if (v.standing() !== 'lead' || !d) return;
       const s = d.state;
-      const size = 3;
+      const size = T.towers;
       const lost = d.members.find((m) => goneFor(s, m.id) > T.replaceAfter);
       const spare = order.live(s, 'tower').find((n) => n.standing === 'live' && !d.members.some((m) => m.id === n.id));
       if (spare && d.members.length < size + (lost ? 1 : 0)) {
--- a/packages/tower/src/order.ts
+++ b/packages/tower/src/order.ts
@@ -21,13 +21,32 @@
 /** An earlier configuration as it was pushed; the last few are kept so that one can be gone back to (§7.2). */
 export type PastConfig = { mark: number; at: Us; push: string; raw: unknown };
 export type Ordered = {
-  config: { mark: number; raw: unknown; value: Config | null; history: PastConfig[] };
+  /**
+   * `mark` is ours and grows by one. An operator may number changes by a `revision` of his own, and hand in the
+   * `source` from which `raw` was made: it is kept and given back as it came (§7.2).
+   */
+  config: {
+    mark: number;
+    raw: unknown;
+    value: Config | null;
+    history: PastConfig[];
+    revision?: number;
+    source?: unknown;
+  };
   pushes: { id: string; mark: number }[];
   roster: Record<string, NodeEntry>;
   keepers: KeeperGroup;
   towers: Member[];
 };
-export type Push = { id: string; base: number; how: 'whole' | 'merge' | 'patch'; body: unknown };
+/** With a `revision`, `base` is the operator's own number of what is changed; else it is our mark. */
+export type Push = {
+  id: string;
+  base: number;
+  how: 'whole' | 'merge' | 'patch';
+  body: unknown;
+  revision?: number;
+  source?: unknown;
+};
 export type PushResult =
   | { ok: true; mark: number; repeated?: boolean }
   | { ok: false; why: 'collision'; mark: number }
@@ -63,6 +82,13 @@
 });
 const isMarkedOrder = (u: unknown): boolean => isMarked(u) && isOrdered((u as Marked<unknown>).state);
 
+const invalid = (s: Ordered, problems: Problem[]): PushResult => ({
+  ok: false,
+  why: 'invalid',
+  mark: s.config.mark,
+  problems,
+});
+
 export const order = {
   initial: (): Ordered => ({
     config: { mark: 0, raw: null, value: null, history: [] },
@@ -76,7 +102,10 @@
   push: (s: Ordered, p: Push, at: Us): { state: Ordered; result: PushResult } => {
     const before = s.pushes.find((x) => x.id === p.id);
     if (before) return { state: s, result: { ok: true, mark: before.mark, repeated: true } };
-    if (p.base !== s.config.mark) return { state: s, result: { ok: false, why: 'collision', mark: s.config.mark } };
+    const present = p.revision === undefined ? s.config.mark : (s.config.revision ?? 0);
+    if (p.base !== present) return { state: s, result: { ok: false, why: 'collision', mark: s.config.mark } };
+    if (p.revision !== undefined && p.revision <= present)
+      return { state: s, result: invalid(s, [{ path: 'revision', text: `must be above ${present}` }]) };
     const next = chart.change(s.config.raw ?? {}, p.how, p.body);
     if (!next.ok)
       return { state: s, result: { ok: false, why: 'invalid', mark: s.config.mark, problems: next.problems } };
@@ -87,7 +116,14 @@
     return {
       state: {
         ...s,
-        config: { mark, raw, value: c.value, history: past([...s.config.history, { mark, at, push: p.id, raw }]) },
+        config: {
+          mark,
+          raw,
+          value: c.value,
+          history: past([...s.config.history, { mark, at, push: p.id, raw }]),
+          revision: p.revision ?? s.config.revision ?? 0,
+          source: p.source ?? null,
+        },
         pushes: [...s.pushes, { id: p.id, mark }].slice(-pushesKept),
       },
       result: { ok: true, mark },
@@ -154,9 +190,14 @@
     s.keepers.mark === mark && s.keepers.swept < mark
       ? { state: { ...s, keepers: { ...s.keepers, swept: mark } }, result: true }
       : { state: s, result: false },
-  drain: (s: Ordered, id: string, on: boolean): { state: Ordered; result: boolean } => {
+  /** Refused if the group and its spares, without those that leave, would fall below `least`. */
+  drain: (s: Ordered, id: string, on: boolean, least = 0): { state: Ordered; result: boolean } => {
     const has = s.keepers.draining.includes(id);
-    if (has === on) return { state: s, result: false };
+    if (has === on) return { state: s, result: true };
+    const stay = Object.values(s.roster).filter(
+      (n) => n.role === 'keeper' && n.standing === 'live' && n.id !== id && !s.keepers.draining.includes(n.id),
+    );
+    if (on && stay.length < least) return { state: s, result: false };
     return {
       state: {
         ...s,
