--- a/packages/beam/src/index.ts
+++ b/packages/beam/src/index.ts
@@ -1,7 +1,7 @@
 // beam: news goes down a tree of relays that the nodes form among themselves (§3.5).
 // Every node computes the same tree from the roster. A digest exchanged with a random sibling
 // makes up for a dead relay; an older mark never replaces a newer one.
-import { invariant, time, us, type Lens, type Place, type Us } from '@thornsail/lens';
+import { hash, invariant, time, us, type Lens, type Place, type Us } from '@thornsail/lens';
 import { ring } from '@thornsail/lookout';
 import { shape, type Pipe } from '@thornsail/pipe';
 
@@ -24,7 +24,7 @@
 };
 const isNews = shape.has({ name: shape.text, mark: shape.whole, value: shape.any });
 export type BeamTimes = { arity: number; digest: Us; attach: Us; exchange: Us };
-const times: BeamTimes = { arity: 3, digest: us.ms(400), attach: us.ms(300), exchange: us.ms(250) };
+const times: BeamTimes = { arity: 3, digest: us.ms(700), attach: us.ms(400), exchange: us.ms(250) };
 
 export const tree = {
   near: (relays: Relay[], id: string, arity: number): Relay[] => {
@@ -48,6 +48,8 @@
     admits: (name: string) => boolean;
     /** Whether an item has the shape that its name asks for; others are neither kept nor passed on. */
     sound?: (n: News) => boolean;
+    /** Items that are said again and again anyway: they are pushed, and not compared. */
+    volatile?: (name: string) => boolean;
     /** For a leaf: the relay it hangs on. */
     attachTo: () => Place | undefined;
     /** Further places to try when the relays do not answer. */
@@ -62,7 +64,15 @@
     const watchers: ((n: News) => void)[] = [];
     const c = { pushed: 0, pulled: 0, relayed: 0 };
     let heard = clock.now();
-    const digest = (): Digest => Object.fromEntries([...items].map(([k, v]) => [k, v.mark]));
+    const lasting = (name: string): boolean => !o.volatile?.(name);
+    const digest = (): Digest =>
+      Object.fromEntries([...items].filter(([k]) => lasting(k)).map(([k, v]) => [k, v.mark]));
+    /** A sum over the digest: two nodes that hold the same need not list it. */
+    const sum = (): number => {
+      let h = 0;
+      for (const [k, v] of items) if (lasting(k)) h = (h + hash.of(`${k} ${v.mark}`)) >>> 0;
+      return h;
+    };
     const near = (): Place[] => {
       const now = clock.now();
       for (const [p, at] of leaves) if (now - at > T.attach * 4) leaves.delete(p);
@@ -90,12 +100,23 @@
       for (const n of fresh) for (const w of watchers) w(n);
     };
     const newerThan = (d: Digest): News[] =>
-      [...items].filter(([k, v]) => (d[k] ?? -1) < v.mark).map(([name, v]) => ({ name, mark: v.mark, value: v.value }));
+      [...items]
+        .filter(([k, v]) => lasting(k) && (d[k] ?? -1) < v.mark)
+        .map(([name, v]) => ({ name, mark: v.mark, value: v.value }));
     pipe.on<News[]>('beam.news', shape.list(isNews), (list, from) => {
       heard = clock.now();
       c.pushed += list.length;
       take(list, from, true);
     });
+    pipe.on<{ sum: number; leaf: boolean }>(
+      'beam.sum',
+      shape.has({ sum: shape.whole, leaf: shape.flag }),
+      (m, from) => {
+        if (m.leaf) leaves.set(from, clock.now());
+        heard = clock.now();
+        return m.sum === sum();
+      },
+    );
     pipe.on<{ digest: Digest; leaf: boolean }>(
       'beam.digest',
       shape.has({ digest: shape.table(shape.whole), leaf: shape.flag }),
@@ -107,6 +128,10 @@
     );
     const refresh = async (to: Place, left: Us = T.exchange): Promise<boolean> => {
       try {
+        if (await pipe.ask<boolean>(to, 'beam.sum', { sum: sum(), leaf: o.leaf }, left)) {
+          heard = clock.now();
+          return true;
+        }
         const r = await pipe.ask<{ news: News[]; digest: Digest }>(
           to,
           'beam.digest',
--- a/packages/chart/src/index.ts
+++ b/packages/chart/src/index.ts
@@ -212,6 +212,8 @@
   return [...out, ...routeRules(c)];
 };
 
+/** Between two heartbeats to a watcher (§3.2); five of them missed are a silence. */
+const beatMs = whole(20, 10_000);
 /** What a node goes by; its place in the fleet. */
 const process_ = {
   place: at,
@@ -220,8 +222,9 @@
   seeds: t.array(at),
   name: label,
   data: t.string,
+  beatMs,
 };
-const common = { zone: 'z1', seeds: [] as string[] };
+const common = { zone: 'z1', seeds: [] as string[], beatMs: 200 };
 const optionCodecs = {
   tower: sealed(
     'tower options',
@@ -231,12 +234,12 @@
   keeper: sealed('keeper options', process_, common),
   pilot: sealed(
     'pilot options',
-    { place: at, http: at, zone: label, seeds: t.array(at), name: label, platform: at },
+    { place: at, http: at, zone: label, seeds: t.array(at), name: label, beatMs, platform: at },
     common,
   ),
   front: sealed(
     'front options',
-    { place: at, http: at, zone: label, seeds: t.array(at), name: label, pilot: at },
+    { place: at, http: at, zone: label, seeds: t.array(at), name: label, beatMs, pilot: at },
     common,
   ),
 };
@@ -321,10 +324,10 @@
   },
   keys: (role: Role): string[] =>
     ({
-      tower: ['place', 'http', 'zone', 'seeds', 'name', 'data', 'founders', 'tolerates', 'leastKeepers'],
-      keeper: ['place', 'http', 'zone', 'seeds', 'name', 'data'],
-      pilot: ['place', 'http', 'zone', 'seeds', 'name', 'platform'],
-      front: ['place', 'http', 'zone', 'seeds', 'name', 'pilot'],
+      tower: ['place', 'http', 'zone', 'seeds', 'name', 'data', 'beatMs', 'founders', 'tolerates', 'leastKeepers'],
+      keeper: ['place', 'http', 'zone', 'seeds', 'name', 'data', 'beatMs'],
+      pilot: ['place', 'http', 'zone', 'seeds', 'name', 'beatMs', 'platform'],
+      front: ['place', 'http', 'zone', 'seeds', 'name', 'beatMs', 'pilot'],
     })[role],
   defaults: { scheduler: (): SchedulerOptions => ({ ...scheduler }) },
 };
--- a/packages/fairway/src/admission.ts
+++ b/packages/fairway/src/admission.ts
@@ -210,9 +210,18 @@
         if (q.length === 0) emptied(cls);
       }
     };
-    const stopPump = time.every(clock, us.ms(20), () => {
-      if (buffers.size) pump();
-    });
+    let pumping = false;
+    /** While turns wait, they are looked at again and again; nothing ticks while none do. */
+    const keepPumping = (): void => {
+      if (pumping || closed) return;
+      pumping = true;
+      clock.tick(us.ms(20), () => {
+        pumping = false;
+        if (closed || buffers.size === 0) return;
+        pump();
+        if (buffers.size) keepPumping();
+      });
+    };
 
     return {
       turn: (e, onHold) => {
@@ -266,6 +275,7 @@
         });
         const w: Wait = { hint: o.hint, not: o.not, ...of, done, until: clock.now() + o.limit };
         buffers.set(cls, [...q, w]);
+        keepPumping();
         if (!hungrySince.has(cls)) hungrySince.set(cls, clock.now());
         wait(cls, 1);
         return {
@@ -349,7 +359,6 @@
         closed = true;
         disarm();
         stopTick();
-        stopPump();
       },
     };
   },
--- a/packages/fairway/src/index.ts
+++ b/packages/fairway/src/index.ts
@@ -80,7 +80,7 @@
     const { clock } = lens;
     const log = lens.log('fairway');
     const me = mooring.id;
-    const reports = report.open({ clock, mooring, me, adm: () => adm, uses: () => configMark });
+    const reports = report.open({ clock, pipe, mooring, me, adm: () => adm, uses: () => configMark });
     const adm: Admission = admission.open(lens, me, reports.changed, o.plain);
     const regs = registers.open({
       lens,
@@ -116,6 +116,7 @@
     let config: Config | undefined;
     let configMark = 0;
     let keepersOk = false;
+    let doneBefore = 0;
     let retries = retryBudget;
     const out = saying.open({ rand: lens.rand, bump });
     pipe.on<{ turn: string }>('turn.open', shape.has({ turn: shape.text }), ({ turn }) => inFlight.has(turn));
@@ -156,7 +157,10 @@
         retries = Math.min(retryBudget, retries + 0.25);
       }),
       time.every(clock, us.ms(500), async () => {
-        keepersOk = await regs.reachable();
+        // Changes that a majority took are proof enough.
+        const done = regs.counts().done;
+        keepersOk = done > doneBefore || (await regs.reachable());
+        doneBefore = done;
         takeWorkers();
       }),
     ];
@@ -180,7 +184,8 @@
       const s = mooring.state();
       if (!s || fresh('core')) return true;
       const fronts = Object.values(s.roster).filter((n) => n.role === 'front' && n.standing === 'live');
-      return fronts.filter((n) => n.id === me || fresh(`load/${n.id}`)).length * 2 > fronts.length;
+      const heard = (id: string): boolean => clock.now() - reports.heardOf(id) < touchWithin;
+      return fronts.filter((n) => n.id === me || heard(n.id)).length * 2 > fronts.length;
     };
     /** After a freeze nothing is dispatched on old news (§3.7). */
     const freshen = async (): Promise<boolean> => {
--- a/packages/keeper/src/registers.ts
+++ b/packages/keeper/src/registers.ts
@@ -30,7 +30,7 @@
   /** Brings one key onto a majority of the present group under its mark (§6.5). */
   settleKey: (key: string, timeLeft?: Us) => Promise<void>;
   reachable: (timeLeft?: Us) => Promise<boolean>;
-  counts: () => { rounds: number; quick: number; conflicts: number; mended: number; reads: number };
+  counts: () => { rounds: number; quick: number; conflicts: number; mended: number; reads: number; done: number };
 };
 
 type Known = { mark: number; next: Ballot; held: Held | null; walls: Walls; at: Us };
@@ -43,7 +43,7 @@
   open: (o: { lens: Lens; pipe: Pipe; by: string; group: () => Group | undefined }): Registers => {
     const { lens, pipe, by } = o;
     const { clock } = lens;
-    const c = { rounds: 0, quick: 0, conflicts: 0, mended: 0, reads: 0 };
+    const c = { rounds: 0, quick: 0, conflicts: 0, mended: 0, reads: 0, done: 0 };
     let ahead: Group | undefined;
     const group = (): Group => {
       const g = o.group();
@@ -193,6 +193,7 @@
           if (a.ok.length >= majority(g.members.length)) {
             cache.set(key, { mark: g.mark, next, held: put, walls: walls(a.ok), at: clock.now() });
             mend(g, key, a.late, mine, put);
+            c.done += 1;
             return r.result;
           }
           cache.delete(key);
--- a/packages/mooring/src/index.ts
+++ b/packages/mooring/src/index.ts
@@ -46,7 +46,8 @@
   list: shape.list(shape.has({ id: shape.text, at: place.ok, kind: shape.one('model', 'app'), leaving: shape.flag })),
 });
 const counts = shape.table(shape.whole);
-const isLoad = shape.has({
+/** What an edge tells of its load (§4.4). */
+export const isLoad = shape.has({
   load: shape.has({ running: shape.table(counts), waiting: counts }),
   tokens: shape.table(shape.num),
   paused: shape.whole,
@@ -76,6 +77,8 @@
     seeds: Place[];
     towers?: Place[];
     beside?: Place;
+    /** Between two heartbeats; five of them missed are a silence. */
+    beat?: Us;
   }): Mooring => {
     const { lens, pipe, id, role } = o;
     const { clock, rand } = lens;
@@ -112,6 +115,7 @@
       relays,
       admits,
       sound: soundNews,
+      volatile: (name) => name.startsWith('load/') || name.startsWith('read/'),
       attachTo: () => {
         if (!o.beside) return undefined;
         const n = live().find((x) => x.place === o.beside);
@@ -130,6 +134,7 @@
       },
     });
     const look = lookout.open({
+      ...(o.beat === undefined ? {} : { times: { beat: o.beat, silent: o.beat * 5 } }),
       lens,
       pipe,
       self: () => ({ id, place: pipe.at, inc }),
--- a/packages/thornsail/src/bin.ts
+++ b/packages/thornsail/src/bin.ts
@@ -19,6 +19,12 @@
   ] ?? '0';
 
 const lists = new Set(['seeds', 'founders']);
+const numbers = new Set(['beatMs', 'tolerates', 'leastKeepers']);
+/** A flag's text as its key wants it; what is no number is left for the check to name. */
+const fromFlag = (key: string, v: unknown): unknown => {
+  if (lists.has(key)) return String(v).split(',').filter(Boolean);
+  return numbers.has(key) && /^\d+$/.test(String(v)) ? Number(v) : v;
+};
 const wrongUse = (text: string): never => {
   err(text);
   process.exit(2);
@@ -37,6 +43,9 @@
   founders: 'the three places of the first towers (towers only)',
   platform: 'address of the platform',
   pilot: 'place of the pilot beside this front',
+  beatMs: 'milliseconds between two heartbeats',
+  tolerates: 'machines that may be lost at once (towers only)',
+  leastKeepers: 'keepers that a drain leaves at least (towers only)',
 };
 
 const roleCommand = (role: Role, text: string): CommandDef => {
@@ -61,8 +70,7 @@
           wrongUse(`settings file ${a['settings']}: an object is needed`);
       }
       const merged: Record<string, unknown> = { ...(file as Record<string, unknown>) };
-      for (const k of keys)
-        if (a[k] !== undefined) merged[k] = lists.has(k) ? String(a[k]).split(',').filter(Boolean) : a[k];
+      for (const k of keys) if (a[k] !== undefined) merged[k] = fromFlag(k, a[k]);
       const c = chart.options(role, merged);
       if (!c.ok) {
         for (const p of c.problems) err(`${p.path}: ${p.text}`);
--- a/packages/thornsail/src/roles.ts
+++ b/packages/thornsail/src/roles.ts
@@ -165,7 +165,8 @@
  * the next ones only if nothing came for a while longer (§3.8). Nobody has to be elected, and nobody's loss is felt.
  */
 const listDue = (m: Mooring, now: Us): boolean => {
-  const newest = Math.max(-Infinity, ...m.beam.all('workers/').map((x) => x.item.at));
+  const read = [...m.beam.all('workers/'), ...m.beam.all('read/')];
+  const newest = Math.max(-Infinity, ...read.map((x) => x.item.at));
   const s = m.state();
   const pilots = s ? order.live(s, 'pilot').map((n) => n.id) : [];
   const rank = Math.max(0, pilots.indexOf(m.id));
@@ -191,6 +192,8 @@
         give(v);
       },
       uses: (id) => {
+        const used = here.moor?.beam.get(`uses/${id}`);
+        if (used) return used.mark;
         const l = here.moor?.beam.get(`load/${id}`)?.value as Partial<EdgeLoad> | undefined;
         // A front of the release before does not say; it is taken at its word that news reaches it.
         return l === undefined ? -1 : (l.uses ?? Infinity);
@@ -212,6 +215,7 @@
       http: o.http,
       zone: o.zone,
       seeds: o.seeds,
+      beat: us.ms(o.beatMs),
       towers: o.founders,
     });
     here.moor = m;
@@ -259,6 +263,7 @@
       http: o.http,
       zone: o.zone,
       seeds: o.seeds,
+      beat: us.ms(o.beatMs),
     });
     const regs = registers.open({ lens, pipe: p, by: `${s.id}.${lens.rand.id()}`, group: () => groupOf(m) });
     const counts: Record<string, number> = {};
@@ -322,6 +327,7 @@
       http: o.http,
       zone: o.zone,
       seeds: o.seeds,
+      beat: us.ms(o.beatMs),
     });
     const regs = registers.open({ lens, pipe: p, by: id, group: () => groupOf(m) });
     let mark = 0;
@@ -337,7 +343,8 @@
       onList: (list) => {
         const text = JSON.stringify(list);
         const now = lens.clock.now();
-        if (text === last && now - lastPut < us.s(1.5)) return;
+        // An unchanged list is not sent again; that it was read is.
+        if (text === last && now - lastPut < us.s(1.5)) return read ? m.beam.put(`read/${id}`, ++mark, {}) : undefined;
         last = text;
         lastPut = now;
         m.beam.put(`workers/${id}`, ++mark, { list });
@@ -380,6 +387,7 @@
       http: o.http,
       zone: o.zone,
       seeds: o.seeds,
+      beat: us.ms(o.beatMs),
       beside: o.pilot,
     });
     const f = fairway.open({
--- a/packages/tower/src/core.ts
+++ b/packages/tower/src/core.ts
@@ -278,7 +278,7 @@
       if (v.led() && o.onLead) o.onLead((v.done()?.view ?? 0) * 1e9 + ++told);
     };
     const stops = [
-      time.every(lens.clock, us.ms(300), say),
+      time.every(lens.clock, us.ms(500), say),
       time.every(lens.clock, us.ms(200), safely(rule)),
       time.every(
         lens.clock,
