A front takes requests at its start and while it leaves; a restarted tower takes over sooner

Cause: after a closing fault fronts refused what came before the towers had a head, and a program's few tries were used up in that second; a front that was told to end refused at once what the platform still sent it for two seconds.

--- a/packages/beam/src/index.ts
+++ b/packages/beam/src/index.ts
@@ -15,6 +15,8 @@
   all: (prefix: string) => { name: string; item: Item }[];
   drop: (keep: (name: string) => boolean) => void;
   on: (fn: (n: News) => void) => void;
+  /** Whether a leaf still hangs on this relay. */
+  hasLeaves: () => boolean;
   /** When a sibling last exchanged news with this node. */
   heardAt: () => Us;
   /** Exchanges digests at once with a given sibling; true if it did. */
@@ -171,6 +173,7 @@
         for (const k of items.keys()) if (!keep(k)) items.delete(k);
       },
       on: (fn) => void watchers.push(fn),
+      hasLeaves: () => [...leaves.values()].some((at) => clock.now() - at <= T.attach * 4),
       heardAt: () => heard,
       refresh,
       counts: () => ({ ...c }),
--- a/packages/fairway/src/admission.ts
+++ b/packages/fairway/src/admission.ts
@@ -54,6 +54,8 @@
   bad: (worker: string) => void;
   worker: (id: string) => WorkerEntry | undefined;
   workers: (list: WorkerEntry[]) => void;
+  /** Whether any worker takes requests. */
+  hasWorkers: () => boolean;
   siblings: (l: (EdgeLoad & { id: string })[]) => void;
   config: (c: Config) => void;
   load: () => Omit<EdgeLoad, 'took' | 'uses'>;
@@ -311,6 +313,7 @@
         all.set(cls, f);
         f.saw(took);
       },
+      hasWorkers: () => list.some((w) => !w.leaving),
       bad: (worker) => berths.bad(worker, clock.now() + us.s(1)),
       worker: (id) => berths.get(id),
       workers: (l) => {
--- a/packages/fairway/src/forward/forward.ts
+++ b/packages/fairway/src/forward/forward.ts
@@ -483,7 +483,8 @@
   }
 };
 
-export const forward = async (f: Forwarding, p: Forward, out: HttpSay): Promise<void> => {
+/** `arrived` is when the request came: what it waited before this counts. */
+export const forward = async (f: Forwarding, p: Forward, out: HttpSay, arrived: Us): Promise<void> => {
   const x = f.edge;
   x.bump(p.turn ? 'turns' : 'jobs');
   const id = `${x.me}.${x.lens.rand.id()}`;
@@ -493,7 +494,7 @@
     p,
     say: out,
     st: stages.open(),
-    begun: x.lens.clock.now(),
+    begun: arrived,
     id,
     claimed: null,
     charged: null,
--- a/packages/fairway/src/index.ts
+++ b/packages/fairway/src/index.ts
@@ -36,12 +36,15 @@
 /** What the platform's list looks like in the news: one item for each pilot that reads it. */
 export type WorkersNews = { list: WorkerEntry[] };
 
+/** How a front leaves (§5.10): what it still takes, and when it ends at the latest. */
+export type Drain = { acceptFor?: Us; within?: Us };
 export type Fairway = {
   handle: HttpHandler;
   /** Passes on, unread, what comes in a dialect's words (§5.7). */
   forward: (d: Dialect) => HttpHandler;
   ready: () => { ok: boolean; why: string[] };
-  drain: () => Promise<void>;
+  /** Takes requests for `acceptFor` more, while callers are led elsewhere; resolves when all are answered. */
+  drain: (o?: Drain) => Promise<void>;
   /** What callers may send, by the configuration in use; undefined before the first. */
   limits: () => Config['limits'] | undefined;
   counts: () => Record<string, number>;
@@ -52,6 +55,8 @@
 
 /** A front that has heard neither of the core nor of most fronts for so long takes nothing new (§7.2). */
 const touchWithin = us.s(2);
+/** How long a request may wait at a front that does not know the fleet yet. */
+const holdAtStart = us.ms(1500);
 /** Retries within the system: so many at once, one more each second (§5.4). */
 const retryBudget = 10;
 
@@ -111,6 +116,7 @@
       c[k] = (c[k] ?? 0) + 1;
     };
     const inFlight = new Set<string>();
+    let leaving = false;
     let draining = false;
     let closed = false;
     let config: Config | undefined;
@@ -167,7 +173,7 @@
 
     const ready = (): { ok: boolean; why: string[] } => {
       const why: string[] = [];
-      if (draining) why.push('leaving');
+      if (leaving) why.push('leaving');
       if (!config) why.push('no configuration');
       if (!workersOf(mooring.beam, clock.now(), undefined).some((w) => !w.leaving)) why.push('no workers');
       if (!keepersOk) why.push('no keeper majority');
@@ -268,15 +274,36 @@
       }
     };
 
+    /** Callers that keep their connection are told to open the next one elsewhere. */
+    const whileLeaving = (say: HttpSay): HttpSay => ({
+      ...say,
+      head: (status, headers) =>
+        say.head(
+          status,
+          !leaving
+            ? headers
+            : Array.isArray(headers)
+              ? [...(headers as readonly string[]), 'connection', 'close']
+              : { ...(headers as Record<string, string>), 'connection': 'close' },
+        ),
+    });
+    /** A front that has just started takes requests at once and serves them as soon as it can (§5.10). */
+    const untilKnown = async (say: HttpSay): Promise<void> => {
+      const end = clock.now() + holdAtStart;
+      const known = (): boolean => config !== undefined && adm.hasWorkers() && regs.known();
+      while (!known() && clock.now() < end && !say.gone() && !closed) await time.sleep(clock, us.ms(20));
+    };
     /** What may be taken now; else why not. */
-    const closedFor = async (): Promise<string | null> => {
-      if (!config) return 'no configuration yet';
+    const closedFor = async (say: HttpSay): Promise<string | null> => {
       if (draining) return 'this node is leaving';
+      await untilKnown(say);
+      if (!config) return 'no configuration yet';
       if (!inTouch() && (!(await mooring.refresh()) || !inTouch())) return 'this node is cut off from most others';
       return inFlight.size >= config.scheduler.maxTurns ? 'this node holds as many requests as it may' : null;
     };
     const passOn = async (f: Forwarding, ask: HttpAsk, say: HttpSay): Promise<void> => {
       bump('requests');
+      const arrived = clock.now();
       const d = f.dialect;
       const refuse = (r: Parameters<Dialect['refuse']>[0], after: number | null): void => {
         const w = d.refuse(r, after);
@@ -284,7 +311,7 @@
         say.head(w.status, [...w.headers, 'content-length', String(Buffer.byteLength(w.body))]);
         say.end(w.body);
       };
-      const why = await closedFor();
+      const why = await closedFor(say);
       if (why !== null)
         return refuse({ status: 503, error: 'closed', field: null, text: why }, 0.2 + 0.3 * lens.rand.next());
       const p = d.plan(ask, config!);
@@ -292,7 +319,7 @@
         bump('bad_requests');
         return refuse(p, null);
       }
-      return forward(f, p, say);
+      return forward(f, p, say, arrived);
     };
 
     return {
@@ -300,7 +327,7 @@
         const f: Forwarding = { edge, dialect: d, connections: pool, kept: turns, edges: fronts };
         return async (ask, say) => {
           try {
-            await passOn(f, ask, say);
+            await passOn(f, ask, whileLeaving(say));
           } catch (e) {
             log(`a request failed: ${fault.text(e)}.`);
             say.cut();
@@ -309,16 +336,18 @@
       },
       handle: async (ask, say) => {
         try {
-          await handle(ask, say);
+          await handle(ask, whileLeaving(say));
         } catch (e) {
           log(`a request failed: ${fault.text(e)}.`);
           say.cut();
         }
       },
       ready,
-      drain: async () => {
+      drain: async (d = {}) => {
+        leaving = true;
+        const end = clock.now() + (d.within ?? maxTurn);
+        if (d.acceptFor) await time.sleep(clock, d.acceptFor);
         draining = true;
-        const end = clock.now() + maxTurn;
         while (inFlight.size && clock.now() < end && !closed) await time.sleep(clock, us.ms(50));
       },
       limits: () => config?.limits,
--- a/packages/keeper/src/registers.ts
+++ b/packages/keeper/src/registers.ts
@@ -30,6 +30,8 @@
   /** Brings one key onto a majority of the present group under its mark (§6.5). */
   settleKey: (key: string, timeLeft?: Us) => Promise<void>;
   reachable: (timeLeft?: Us) => Promise<boolean>;
+  /** Whether a keeper group is known at all. */
+  known: () => boolean;
   counts: () => { rounds: number; quick: number; conflicts: number; mended: number; reads: number; done: number };
 };
 
@@ -222,6 +224,7 @@
         }
         return change(key, (value) => ({ keep: true, result: value }), end - clock.now(), true);
       },
+      known: () => ahead !== undefined || o.group() !== undefined,
       reachable: async (timeLeft = us.ms(400)) => {
         try {
           const g = group();
--- a/packages/thornsail/src/roles.ts
+++ b/packages/thornsail/src/roles.ts
@@ -1,5 +1,5 @@
 // The roles (§1.2). Each is given its lens and its checked options, and runs as well in fog as on a machine.
-import { workersOf, fairway, type EdgeLoad, type Fairway } from '@thornsail/fairway';
+import { workersOf, fairway, type Drain, type EdgeLoad, type Fairway } from '@thornsail/fairway';
 import type { FrontOptions, KeeperOptions, PilotOptions, TowerOptions } from '@thornsail/chart';
 import { harbour, type PlatformWorker } from '@thornsail/harbour';
 import { registers, store, sweep, type Group, type Registers } from '@thornsail/keeper';
@@ -24,7 +24,7 @@
   ready: () => { ok: boolean; why: string[] };
   counts: () => Record<string, number>;
   /** Stops taking new work, finishes what runs, and leaves the roster. */
-  drain: () => Promise<void>;
+  drain: (o?: Drain) => Promise<void>;
   close: () => Promise<void>;
   /** Calls back if this node must stop: its disk failed, and nothing it says of its state would be safe (§6.1). */
   onFailed: (fn: (why: string) => void) => void;
@@ -58,7 +58,8 @@
   freezes: m.freezes(),
   ...Object.fromEntries(Object.entries(m.beam.counts()).map(([k, v]) => [`news_${k}`, v])),
 });
-type Parts = SignalNode & {
+type Parts = Omit<SignalNode, 'drain'> & {
+  drain: (o?: Drain) => Promise<void>;
   http: Place;
   stop: () => void;
   onFailed?: Node['onFailed'];
@@ -70,14 +71,14 @@
 /** What all roles share: the operators' HTTP, draining by a sibling's word, closing in order. */
 const serve = async (x: Parts): Promise<Node> => {
   let draining: Promise<void> | undefined;
-  const drain = (): Promise<void> =>
+  const drain = (o?: Drain): Promise<void> =>
     (draining ??= (async () => {
       // Nothing new is taken from now on, even if the core cannot be told.
-      const done = x.drain();
+      const done = x.drain(o);
       await x.mooring.leave();
       await done;
     })());
-  const ops = signal.handler({ ...x, drain });
+  const ops = signal.handler({ ...x, drain: () => drain() });
   const own = x.callers;
   const http = await x.lens.net.serve(
     x.http,
@@ -410,7 +411,7 @@
       http: o.http,
       ready: f.ready,
       counts: () => ({ ...commonCounts(p, m), ...f.counts() }),
-      drain: () => f.drain(),
+      drain: (o) => f.drain(o),
       stop: () => f.close(),
       callers: f.handle,
       fairway: f,
--- a/packages/tower/src/views.ts
+++ b/packages/tower/src/views.ts
@@ -80,7 +80,8 @@
     }
     let done: Marked<S> | undefined;
     let head: Place | undefined;
-    let heardAt = clock.now();
+    // A head that lives is heard within a beat or two: one that just started need not wait out the whole silence.
+    let heardAt = clock.now() - T.silent + T.beat * 3;
     let closed = false;
 
     const step = (ev: 'formed' | 'silent' | 'won' | 'lost'): void => machine.send(ev);
