--- a/packages/fog/src/world.ts
+++ b/packages/fog/src/world.ts
@@ -5,7 +5,6 @@
   place,
   seeded,
   us,
-  type Connection,
   type Disk,
   type Frames,
   type HttpAsk,
@@ -19,6 +18,8 @@
   type Rand,
   type Us,
 } from '@thornsail/lens';
+import type { Wire, WireHandler } from '@thornsail/roadstead';
+import { link, type Ground, type Served } from './link.js';
 
 type Ev = { at: Us; n: number; host: Host | null; inc: number; fn: () => void };
 type Put = { name: string; text: string; done: () => void; fail: (e: Error) => void };
@@ -45,7 +46,7 @@
   disk: DiskState;
   skew: Us;
   frames: Map<Place, { got: (from: Place, text: string) => boolean; down: (to: Place) => void; to: Set<Place> }>;
-  http: Map<Place, HttpHandler>;
+  http: Map<Place, Served>;
   /** Pipes that this host has a part in; told when its process ends, or that it fell silent. */
   open: Set<(silent: boolean) => void>;
 };
@@ -57,8 +58,11 @@
   syncs: () => number;
   frames: () => number;
   httpCalls: () => number;
+  /** A process of its own; several may share a machine's address. */
   host: (ip: string, zone: string) => Host;
   lens: (h: Host) => Lens;
+  /** Servers on this host that may misbehave. */
+  wire: (h: Host) => Wire;
   run: (until: Us) => Promise<void>;
   at: (at: Us, fn: () => void) => void;
   kill: (h: Host, how: 'process' | 'power' | 'disk') => void;
@@ -67,6 +71,8 @@
   wake: (h: Host) => void;
   /** Cuts all traffic between two sets of hosts; returns how to heal it. */
   cut: (a: Host[], b: Host[]) => () => void;
+  /** Cuts what goes from one set of hosts to another, and not what comes back. */
+  cutOneWay: (from: Host[], to: Host[]) => () => void;
   slow: (by: Us) => void;
   /** Frames get lost with this chance, come twice with half of it, and overtake one another by up to `jumble`. */
   rough: (loss: number, jumble: Us) => void;
@@ -74,14 +80,14 @@
 };
 const base = 1_790_000_000_000_000;
 
-/** What both ways of calling share: the body as bytes. `onSent` is told when the other side gets the request. */
+/** A request, its body as bytes. */
 type BytesCall = Omit<HttpCall, 'body' | 'headers'> & {
   body?: string | Uint8Array;
   headers?: Record<string, string>;
   rawHeaders?: readonly string[];
 };
 type BytesResult = Omit<HttpResult, 'body'> & { body: AsyncIterable<Uint8Array> };
-type CallBytes = (req: BytesCall, onSent?: () => void) => Promise<BytesResult>;
+type CallBytes = (req: BytesCall) => Promise<BytesResult>;
 
 const bytesOf = (piece: string | Uint8Array): Uint8Array =>
   typeof piece === 'string' ? Buffer.from(piece, 'utf8') : piece;
@@ -114,60 +120,6 @@
     tooBig: false,
   };
 };
-const forEver: Us = us.s(100_000);
-/** A connection over the same simulated calls: one exchange at a time, closed for good once one of them fails. */
-const connectionOf = (callBytes: CallBytes, at: Place, o: { onClosed?: () => void }): Connection => {
-  let up = true;
-  const closed = (): void => {
-    if (!up) return;
-    up = false;
-    o.onClosed?.();
-  };
-  const exchange: Connection['exchange'] = (x, on) => {
-    let paused: Promise<void> | undefined;
-    let go: () => void = () => undefined;
-    let cut: (() => void) | undefined;
-    let off = false;
-    const run = async (): Promise<void> => {
-      const call: BytesCall = { at, method: x.method, path: x.target, rawHeaders: x.headers, timeLeft: forEver };
-      const r = await callBytes({ ...call, silence: forEver, ...(x.body ? { body: x.body } : {}) }, on.sent);
-      cut = r.cut;
-      if (off) return r.cut();
-      on.head(r.status, r.headers, Object.entries(r.headers).flat());
-      for await (const bytes of r.body) {
-        if (paused) await paused;
-        if (off) return;
-        on.data(bytes);
-      }
-      if (r.headers['connection'] === 'close') closed();
-      if (!off) on.end();
-    };
-    run().catch((e: Error) => {
-      closed();
-      if (!off) on.fail(e);
-    });
-    return {
-      pause: () => {
-        paused ??= new Promise<void>((fin) => {
-          go = fin;
-        });
-      },
-      resume: () => {
-        paused = undefined;
-        go();
-      },
-      cut: () => {
-        if (off) return;
-        off = true;
-        cut?.();
-        closed();
-        on.fail(fault.make({ step: 'exchange', sibling: at, code: 'cut' }, 'cut'));
-      },
-    };
-  };
-  return { exchange, open: () => up, close: closed };
-};
-
 export const world = {
   open: (o: { seed: number; zoneDelay: Us; clientDelay: Us; clientIp: string; diskTime?: Us }): World => {
     const rand = seeded(o.seed);
@@ -182,7 +134,11 @@
     let jumble = 0;
     let logger: (at: Us, ip: string, part: string, text: string) => void = () => undefined;
     const hosts = new Map<string, Host>();
-    const cuts = new Set<{ a: Set<Host>; b: Set<Host> }>();
+    const processes = new Set<Host>();
+    /** By place, once something has listened there. */
+    const bound = new Map<Place, Host>();
+    const cuts = new Set<{ a: Set<Host>; b: Set<Host>; oneWay: boolean }>();
+    let heals: (() => void)[] = [];
     const fold = (s: string): void => {
       for (let i = 0; i < s.length; i++) trace = Math.imul(trace ^ s.charCodeAt(i), 0x01000193) >>> 0;
     };
@@ -224,10 +180,21 @@
         setImmediate(fin);
       });
 
+    /** Whether what goes from one host to another is held up. */
     const severed = (a: Host, b: Host): boolean => {
-      for (const x of cuts) if ((x.a.has(a) && x.b.has(b)) || (x.a.has(b) && x.b.has(a))) return true;
+      for (const x of cuts) if ((x.a.has(a) && x.b.has(b)) || (!x.oneWay && x.a.has(b) && x.b.has(a))) return true;
       return false;
     };
+    const cutting = (a: Host[], b: Host[], oneWay: boolean): (() => void) => {
+      const x = { a: new Set(a), b: new Set(b), oneWay };
+      cuts.add(x);
+      return () => {
+        cuts.delete(x);
+        const all = heals;
+        heals = [];
+        for (const fn of all) fn();
+      };
+    };
     const delay = (a: Host, b: Host): Us => {
       if (a === b) return 20;
       const d = a.ip === o.clientIp || b.ip === o.clientIp ? o.clientDelay : a.zone === b.zone ? 120 : o.zoneDelay;
@@ -241,13 +208,55 @@
       order.set(key, at);
       later(at - now, b, fn);
     };
-    const hostOf = (p: Place): Host | undefined => hosts.get(place.host(p));
+    const hostOf = (p: Place): Host | undefined => bound.get(p) ?? hosts.get(place.host(p));
+    const listens = (
+      h: Host,
+      at: Place,
+      x: Omit<Served, 'room'>,
+      most = Infinity,
+    ): { at: Place; close: () => Promise<void> } => {
+      if (h.http.has(at)) throw fault.make({ step: 'http.bind', sibling: at }, 'address in use');
+      let open = 0;
+      const room = (by: 1 | -1): boolean => (open += by) <= most;
+      h.http.set(at, { ...x, room });
+      bound.set(at, h);
+      const inc = h.inc;
+      return {
+        at,
+        close: async () => {
+          if (h.inc === inc) h.http.delete(at);
+        },
+      };
+    };
+    const ground: Ground = {
+      rand,
+      later,
+      deliver: (a, b, fn) => deliver(a, b, fn),
+      delay: (a, b) => delay(a, b),
+      severed,
+      hostOf: (at) => hostOf(at),
+      onHeal: (fn) => void heals.push(fn),
+      tableOf,
+      askOf: (x) => {
+        c.http += 1;
+        fold(`${x.method}${x.target}`);
+        return askOf({
+          at: '',
+          method: x.method,
+          path: x.target,
+          rawHeaders: x.headers,
+          timeLeft: 0,
+          body: x.body ?? '',
+        });
+      },
+    };
 
     const netOf = (h: Host, callBytes: CallBytes): Net => ({
       frames: async (at, onFrame, onDown): Promise<Frames> => {
         if (h.frames.has(at)) throw fault.make({ step: 'frames.bind', sibling: at }, 'address in use');
         const mine = { got: onFrame, down: onDown ?? ((): void => undefined), to: new Set<Place>() };
         h.frames.set(at, mine);
+        bound.set(at, h);
         const inc = h.inc;
         return {
           at,
@@ -279,26 +288,19 @@
           },
         };
       },
-      serve: async (at, handler) => {
-        if (h.http.has(at)) throw fault.make({ step: 'http.bind', sibling: at }, 'address in use');
-        h.http.set(at, handler);
-        const inc = h.inc;
-        return {
-          at,
-          close: async () => {
-            if (h.inc === inc) h.http.delete(at);
-          },
-        };
+      serve: async (at, handler, limits) => {
+        const idleFor = (): Us => (typeof limits === 'number' ? undefined : limits.idleFor?.()) ?? us.s(5);
+        return listens(h, at, { handler, wire: handler, idleFor });
       },
       call: async (req: HttpCall) => {
         const r = await callBytes(req);
         return { ...r, body: textOf(r.body) };
       },
-      connect: (at, o) => connectionOf(callBytes, at, o),
+      connect: (at, o) => link.connect(ground, h, at, o),
     });
     const callerOf =
       (h: Host): CallBytes =>
-      (req, onSent) =>
+      (req) =>
         new Promise<BytesResult>((done, fail) => {
           c.http += 1;
           const t = hostOf(req.at);
@@ -374,7 +376,7 @@
           };
           /** The other side's process ended: the pipe breaks. */
           const theirs = (silent: boolean): void => {
-            if (!silent && !severed(h, t)) later(delay(h, t), h, broke);
+            if (!silent && !severed(t, h)) later(delay(h, t), h, broke);
           };
           /** This side's process ended. */
           const mine = (silent: boolean): void => {
@@ -449,9 +451,9 @@
           const [hInc, tInc] = [h.inc, t.inc];
           const same = (): boolean => h.inc === hInc && t.inc === tInc;
           const toCaller = (fn: () => void): void => {
-            if (severed(h, t) || !same()) return;
+            if (severed(t, h) || !same()) return;
             deliver(t, h, () => {
-              if (!severed(h, t) && same()) fn();
+              if (!severed(t, h) && same()) fn();
             });
           };
           const silence = req.silence ?? us.s(30);
@@ -499,7 +501,7 @@
           if (severed(h, t)) return;
           deliver(h, t, () => {
             if (severed(h, t)) return;
-            const handler = t.http.get(req.at);
+            const handler = t.http.get(req.at)?.handler;
             if (!handler) {
               toCaller(rejectCall);
               return;
@@ -507,7 +509,6 @@
             // The pipe is open; the request itself follows.
             if (phase !== 'connect') return;
             phase = 'sent';
-            onSent?.();
             t.open.add(theirs);
             const ask = askOf(req);
             fold(`${req.method}${req.path}`);
@@ -597,6 +598,7 @@
           open: new Set(),
         };
         hosts.set(ip, h);
+        processes.add(h);
         return h;
       },
       lens: (h) => {
@@ -648,7 +650,7 @@
         // Pipes to a process that ended break; after a loss of power nobody is there to say so.
         if (how === 'process')
           for (const place_ of h.frames.keys())
-            for (const o2 of hosts.values())
+            for (const o2 of processes)
               for (const f of o2.frames.values())
                 if (o2 !== h && f.to.has(place_) && !severed(o2, h)) later(delay(h, o2), o2, () => f.down(place_));
         h.alive = false;
@@ -683,11 +685,15 @@
         // Ticks and messages that came due during the freeze all run now, in their order.
         for (const e of late) if (e.inc === h.inc) later(0, h, e.fn);
       },
-      cut: (a, b) => {
-        const x = { a: new Set(a), b: new Set(b) };
-        cuts.add(x);
-        return () => void cuts.delete(x);
-      },
+      wire: (h) => ({
+        serve: async (at, handler: WireHandler, o2) => {
+          const plain: HttpHandler = (ask, say) =>
+            handler(ask, { ...say, garble: say.cut, reset: say.cut, surplus: () => undefined });
+          return listens(h, at, { handler: plain, wire: handler, idleFor: () => o2.idleFor }, o2.connections);
+        },
+      }),
+      cut: (a, b) => cutting(a, b, false),
+      cutOneWay: (from, to) => cutting(from, to, true),
       slow: (by) => {
         extra = by;
       },
--- /dev/null
+++ b/packages/fog/test/link.test.ts
@@ -0,0 +1,302 @@
+// Kept connections: what a worker can do to one, alike on real sockets and in the simulator; and what only the
+// simulator can bring about.
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { world, type Host, type World } from '@thornsail/fog';
+import { real, time, us, type Connection, type Lens, type Place, type Us } from '@thornsail/lens';
+import { wire, type Wire, type WireHandler } from '@thornsail/roadstead';
+
+type Got = { status: number; id: string; body: string; how: 'end' | 'fail'; sent: boolean };
+const ask = (c: Connection, path: string, timeLeft?: { lens: Lens; left: Us }): Promise<Got> =>
+  new Promise((done) => {
+    const got: Got = { status: 0, id: '', body: '', how: 'end', sent: false };
+    const control = c.exchange(
+      { method: 'GET', target: path, headers: ['host', 'x'], body: null },
+      {
+        sent: () => void (got.sent = true),
+        head: (status, headers) => Object.assign(got, { status, id: headers['x-path'] ?? '' }),
+        data: (b) => void (got.body += Buffer.from(b).toString('latin1')),
+        end: () => done(got),
+        fail: () => done({ ...got, how: 'fail' }),
+      },
+    );
+    if (timeLeft) timeLeft.lens.clock.tick(timeLeft.left, control.cut);
+  });
+
+/** Does what the path says. */
+const misbehaving =
+  (lens: Lens): WireHandler =>
+  async (request, say) => {
+    const { path } = request;
+    const head = ['x-path', path, ...(path === '/close' ? ['connection', 'close'] : [])];
+    if (path === '/reset') return say.reset();
+    if (path === '/lose') return say.cut();
+    if (path === '/garble') return say.garble();
+    if (path === '/hang') return;
+    if (path === '/surplus') say.surplus(us.ms(30), 200, ['x-path', 'surplus'], Buffer.from('more'));
+    if (path === '/slow') await time.sleep(lens.clock, us.ms(150));
+    say.head(200, [...head, ...(path === '/within' ? [] : ['content-length', '2'])]);
+    say.write(path === '/within' ? 'o' : 'ok');
+    if (path === '/within') {
+      await time.sleep(lens.clock, us.ms(20));
+      return say.cut();
+    }
+    say.end();
+  };
+
+type Place_ = {
+  lens: Lens;
+  at: Place;
+  idleFor: Us;
+  connect: (onClosed?: () => void) => Connection;
+  sleep: (t: Us) => Promise<void>;
+};
+const limits = { idleFor: us.s(1), connections: 4 };
+const connectWithin = us.ms(500);
+type Bench = (run: (p: Place_) => Promise<void>) => Promise<void>;
+
+const onSockets: Bench = async (run) => {
+  const lens = real.lens('/nonexistent');
+  const server = await wire.real().serve('127.0.0.1:0', misbehaving(lens), limits);
+  const open: Connection[] = [];
+  const connect = (onClosed?: () => void): Connection => {
+    const c = lens.net.connect(server.at, { connectWithin, ...(onClosed ? { onClosed } : {}) });
+    open.push(c);
+    return c;
+  };
+  try {
+    await run({ lens, at: server.at, idleFor: limits.idleFor, connect, sleep: (t) => time.sleep(lens.clock, t) });
+  } finally {
+    for (const c of open) c.close();
+    await server.close();
+  }
+};
+type Sim = Place_ & { w: World; client: Host; server: Host; wire: Wire };
+const simulated = async (seed: number, run: (p: Sim) => Promise<void>): Promise<void> => {
+  const w = world.open({ seed, zoneDelay: us.ms(2), clientDelay: us.ms(1), clientIp: '10.9.0.1' });
+  const [client, server] = [w.host('10.0.0.1', 'a'), w.host('10.0.0.2', 'b')];
+  const [lens, there] = [w.lens(client), w.lens(server)];
+  const at = '10.0.0.2:80';
+  await w.wire(server).serve(at, misbehaving(there), limits);
+  let [done, failed] = [false, undefined as unknown];
+  run({
+    lens,
+    at,
+    w,
+    client,
+    server,
+    wire: w.wire(server),
+    idleFor: limits.idleFor,
+    connect: (onClosed) => lens.net.connect(at, { connectWithin, ...(onClosed ? { onClosed } : {}) }),
+    sleep: (t) => time.sleep(lens.clock, t),
+  }).then(
+    () => void (done = true),
+    (e: unknown) => {
+      failed = e;
+      done = true;
+    },
+  );
+  for (let i = 0; i < 400 && !done; i++) await w.run(w.now() + us.ms(100));
+  if (failed) throw failed as Error;
+  assert.ok(done, 'it did not end');
+};
+
+const both: [string, Bench][] = [
+  ['on sockets', onSockets],
+  ['simulated', (run) => simulated(1, run)],
+];
+for (const [name, bench] of both) {
+  test(`${name}: a connection serves one request after the other`, () =>
+    bench(async (p) => {
+      const c = p.connect();
+      for (const path of ['/a', '/b']) {
+        const g = await ask(c, path);
+        assert.equal(g, { status: 200, id: path, body: 'ok', how: 'end', sent: true });
+        assert.ok(c.open());
+      }
+    }));
+  test(`${name}: an idle one is closed by the worker, and that is seen`, () =>
+    bench(async (p) => {
+      let told = 0;
+      const c = p.connect(() => (told += 1));
+      await ask(c, '/a');
+      await p.sleep(p.idleFor * 2);
+      assert.not.ok(c.open());
+      assert.is(told, 1);
+    }));
+  test(`${name}: "close" in an answer ends it behind the answer`, () =>
+    bench(async (p) => {
+      const c = p.connect();
+      assert.is((await ask(c, '/close')).how, 'end');
+      await p.sleep(us.ms(50));
+      assert.not.ok(c.open());
+    }));
+  for (const path of ['/reset', '/lose', '/garble', '/within'])
+    test(`${name}: ${path} fails what was sent, and the connection with it`, () =>
+      bench(async (p) => {
+        const c = p.connect();
+        await ask(c, '/a');
+        const g = await ask(c, path);
+        assert.is(g.how, 'fail');
+        assert.ok(g.sent);
+        assert.is(g.status, path === '/within' ? 200 : 0);
+        await p.sleep(us.ms(50));
+        assert.not.ok(c.open());
+      }));
+  test(`${name}: a surplus answer comes in the place of the next one`, () =>
+    bench(async (p) => {
+      const c = p.connect();
+      await ask(c, '/surplus');
+      const g = await ask(c, '/slow');
+      assert.equal(g, { status: 200, id: 'surplus', body: 'more', how: 'end', sent: true });
+      // What was due comes when nobody waits: the connection is of no use any more.
+      await p.sleep(us.ms(300));
+      assert.not.ok(c.open());
+    }));
+  test(`${name}: a surplus answer on an idle connection ends it`, () =>
+    bench(async (p) => {
+      const c = p.connect();
+      await ask(c, '/surplus');
+      await p.sleep(us.ms(120));
+      assert.not.ok(c.open());
+    }));
+  test(`${name}: one that was cut is not used again`, () =>
+    bench(async (p) => {
+      const c = p.connect();
+      assert.is((await ask(c, '/hang', { lens: p.lens, left: us.ms(50) })).how, 'fail');
+      assert.not.ok(c.open());
+      const g = await ask(c, '/a');
+      assert.is(g.how, 'fail');
+      assert.not.ok(g.sent);
+    }));
+  test(`${name}: more connections than are accepted are reset`, () =>
+    bench(async (p) => {
+      const some = Array.from({ length: limits.connections }, () => p.connect());
+      assert.ok((await Promise.all(some.map((c) => ask(c, '/a')))).every((g) => g.how === 'end'));
+      assert.is((await ask(p.connect(), '/a')).how, 'fail');
+      some[0]!.close();
+      await p.sleep(us.ms(50));
+      assert.is((await ask(p.connect(), '/a')).how, 'end');
+    }));
+  test(`${name}: nothing is sent where nobody listens`, () =>
+    bench(async (p) => {
+      const c = p.lens.net.connect(`${p.at.split(':')[0]!}:1`, { connectWithin });
+      const g = await ask(c, '/a');
+      assert.is(g.how, 'fail');
+      assert.not.ok(g.sent);
+    }));
+}
+
+test('a cut holds up what is sent; it arrives when the cut is over', () =>
+  simulated(2, async (p) => {
+    const c = p.connect();
+    await ask(c, '/a');
+    const heal = p.w.cutOneWay([p.client], [p.server]);
+    const got = ask(c, '/b');
+    await p.sleep(us.ms(200));
+    heal();
+    assert.is((await got).id, '/b');
+  }));
+test('one way: the request runs, the answer is held up', () =>
+  simulated(3, async (p) => {
+    const c = p.connect();
+    await ask(c, '/a');
+    let ran = 0;
+    await p.wire.serve(
+      '10.0.0.2:81',
+      (_ask, say) => {
+        ran += 1;
+        say.head(200, ['content-length', '0']);
+        say.end();
+      },
+      limits,
+    );
+    const d = p.lens.net.connect('10.0.0.2:81', { connectWithin });
+    await ask(d, '/a');
+    const heal = p.w.cutOneWay([p.server], [p.client]);
+    const got = ask(d, '/b');
+    await p.sleep(us.ms(200));
+    assert.is(ran, 2);
+    heal();
+    assert.is((await got).how, 'end');
+  }));
+test('a machine without power says nothing: a new connection hangs, a kept one too', () =>
+  simulated(4, async (p) => {
+    const c = p.connect();
+    await ask(c, '/a');
+    p.w.kill(p.server, 'power');
+    const begun = p.lens.clock.now();
+    const g = await ask(p.connect(), '/a');
+    assert.not.ok(g.sent);
+    assert.is(p.lens.clock.now() - begun, connectWithin);
+    const kept = await ask(c, '/b', { lens: p.lens, left: us.s(2) });
+    assert.ok(kept.sent);
+    assert.is(kept.how, 'fail');
+    assert.is(p.lens.clock.now() - begun, connectWithin + us.s(2));
+  }));
+test('a process that ends breaks its connections; one that is back knows nothing of them', () =>
+  simulated(5, async (p) => {
+    const [c, d] = [p.connect(), p.connect()];
+    await Promise.all([ask(c, '/a'), ask(d, '/a')]);
+    const hung = ask(c, '/hang');
+    await p.sleep(us.ms(50));
+    p.w.kill(p.server, 'process');
+    assert.is((await hung).how, 'fail');
+    await p.sleep(us.ms(50));
+    assert.not.ok(d.open());
+  }));
+test('a kept connection to a machine that was off meanwhile is reset when it is used', () =>
+  simulated(6, async (p) => {
+    const c = p.connect();
+    await ask(c, '/a');
+    p.w.kill(p.server, 'power');
+    p.w.start(p.server);
+    await p.w.wire(p.server).serve(p.at, misbehaving(p.w.lens(p.server)), limits);
+    const g = await ask(c, '/b');
+    assert.ok(g.sent);
+    assert.is(g.how, 'fail');
+    assert.is(g.status, 0);
+  }));
+test('a worker whose caller has gone is told', () =>
+  simulated(7, async (p) => {
+    let gone = false;
+    await p.wire.serve('10.0.0.2:81', (_ask, say) => say.onGone(() => (gone = true)), limits);
+    const c = p.lens.net.connect('10.0.0.2:81', { connectWithin });
+    await ask(c, '/a', { lens: p.lens, left: us.ms(50) });
+    await p.sleep(us.ms(50));
+    assert.ok(gone);
+  }));
+test('a reader that is held back holds the writer up', () =>
+  simulated(8, async (p) => {
+    let held = false;
+    const handler: WireHandler = async (_ask, say) => {
+      say.head(200, []);
+      for (let i = 0; i < 20; i++)
+        if (!say.write('x'.repeat(10_000))) {
+          held = true;
+          await say.drained();
+        }
+      say.end();
+    };
+    await p.wire.serve('10.0.0.2:81', handler, limits);
+    const c = p.lens.net.connect('10.0.0.2:81', { connectWithin });
+    let [size, over] = [0, false];
+    const control = c.exchange(
+      { method: 'GET', target: '/', headers: [], body: null },
+      {
+        sent: () => undefined,
+        head: () => control.pause(),
+        data: (b) => void (size += b.length),
+        end: () => void (over = true),
+        fail: () => undefined,
+      },
+    );
+    await p.sleep(us.ms(100));
+    assert.is(size, 0);
+    assert.ok(held);
+    control.resume();
+    await p.sleep(us.ms(100));
+    assert.is(size, 200_000);
+    assert.ok(over);
+  }));
+test.run();
--- a/packages/roadstead/src/check.ts
+++ b/packages/roadstead/src/check.ts
@@ -7,9 +7,10 @@
 
 const rootDir = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '../../..');
 const only = process.argv.slice(2);
-const files = readdirSync(path.join(rootDir, 'packages'))
+const folders = [...readdirSync(path.join(rootDir, 'packages')).map((p) => path.join('packages', p)), 'platform'];
+const files = folders
   .flatMap((p) => {
-    const dir = path.join(rootDir, 'packages', p, 'test');
+    const dir = path.join(rootDir, p, 'test');
     try {
       return readdirSync(dir)
         .filter((f) => f.endsWith('.test.js'))
--- /dev/null
+++ b/packages/roadstead/src/wire.ts
@@ -0,0 +1,68 @@
+// What a worker's server can do that a well-behaved one never does (§9.3): bytes that are no answer, an answer nobody
+// asked for, a reset, idle connections closed. On real sockets here; the simulator brings its own.
+import http from 'node:http';
+import type net from 'node:net';
+import { place, real, us, type HttpAsk, type HttpSay, type HttpServer, type Place, type Us } from '@thornsail/lens';
+
+export type WireSay = HttpSay & {
+  /** Bytes that are no answer, and then nothing. */
+  garble: () => void;
+  /** Ends the connection at once. */
+  reset: () => void;
+  /** A whole answer that nobody asked for, `after` the end of this one, on the same connection. */
+  surplus: (after: Us, status: number, headers: readonly string[], body: Uint8Array) => void;
+};
+export type WireHandler = (ask: HttpAsk, say: WireSay) => void | Promise<void>;
+/** `idleFor`: an idle connection is closed after it; `connections`: more than these are reset. */
+export type WireLimits = { idleFor: Us; connections: number };
+export type Wire = { serve: (at: Place, handler: WireHandler, o: WireLimits) => Promise<HttpServer> };
+
+export const noise = Buffer.from('\x16\x03\x01\x02 this is no answer \xff\r\n\r\n', 'latin1');
+const largest = 16 << 20;
+
+const answerOf = (status: number, headers: readonly string[], body: Uint8Array): Buffer => {
+  const lines = [`HTTP/1.1 ${status} X`];
+  for (let i = 0; i < headers.length; i += 2) lines.push(`${headers[i]}: ${headers[i + 1]}`);
+  return Buffer.concat([Buffer.from(`${lines.join('\r\n')}\r\ncontent-length: ${body.length}\r\n\r\n`), body]);
+};
+const wireSay = (say: HttpSay, res: http.ServerResponse, socket: net.Socket): WireSay => ({
+  ...say,
+  garble: () => void socket.write(noise),
+  reset: () => void socket.resetAndDestroy(),
+  surplus: (after, status, headers, body) =>
+    void res.once('finish', () =>
+      setTimeout(() => {
+        if (!socket.destroyed) socket.write(answerOf(status, headers, body));
+      }, after / 1000),
+    ),
+});
+
+export const wire = {
+  real: (): Wire => ({
+    serve: (at, handler, o) =>
+      new Promise((done, fail) => {
+        const sockets = new Set<net.Socket>();
+        const server = http.createServer((req, res) => {
+          const { socket } = res;
+          if (!socket) return;
+          real.listener((ask, say) => handler(ask, wireSay(say, res, socket)), largest)(req, res);
+        });
+        server.keepAliveTimeout = o.idleFor / us.ms(1);
+        server.on('connection', (s: net.Socket) => {
+          if (sockets.size >= o.connections) return void s.resetAndDestroy();
+          sockets.add(s);
+          s.on('close', () => sockets.delete(s));
+        });
+        server.on('error', fail);
+        server.listen(place.port(at), place.host(at), () => {
+          const a = server.address() as net.AddressInfo;
+          const close = (): Promise<void> =>
+            new Promise((fin) => {
+              for (const s of sockets) s.destroy();
+              server.close(() => fin());
+            });
+          done({ at: `${a.address}:${a.port}`, close });
+        });
+      }),
+  }),
+};
