--- a/packages/fairway/src/forward/dialect.ts
+++ b/packages/fairway/src/forward/dialect.ts
@@ -134,7 +134,8 @@
 const planOf = (ask: HttpAsk, config: Config, n: HeaderNames, set: ReadonlySet<string>): ForwardPlan => {
   const host = ask.headers['host'];
   if (host === undefined) return refuse(400, 'missing_field', 'host', 'a host is needed');
-  const route = routeOf(config, host, ask.path);
+  // As it came: what a worker gets unchanged is what chooses its route.
+  const route = routeOf(config, host, ask.target.split('?', 1)[0]!);
   if (!route) return refuse(404, 'no_such_route', null, 'no route leads there');
   if (ask.tooBig) return refuse(413, 'too_large', 'body', `the body is over ${config.limits.maxBodyBytes} bytes`);
   const read = reader(ask);
