A chain of turns is kept as long as its last turn

Cause: each turn had its own end, counted from its own answer: a chain that goes on for longer than a turn is kept lost its oldest turns, and its next turn got 503 until the newest one was gone too, then 404. And a turn's time ended while its last continuation was on its way. A turn is now held for twice its span (its time and 5 s), and whoever adds a turn writes those of its chain again that end sooner than a span from now: once in a span at most, none in sessions shorter than that. Ruled out: copying the chain into each turn (its size grows with the square of its length); refreshing on every turn (a write for each earlier turn).

--- a/packages/fairway/src/forward/kept.ts
+++ b/packages/fairway/src/forward/kept.ts
@@ -1,10 +1,14 @@
 // Turns that are kept (§5.9): each is a register of its own, written once before the end of its answer leaves. A turn
-// names the chain before it, so that a continued one is put together from the turns of a tree.
+// names the chain before it, so that a continued one is put together from the turns of a tree. A chain is kept as long
+// as its last turn: earlier ones whose time runs out sooner are kept on when a turn is added.
 import type { Registers } from '@thornsail/keeper';
 import { fault, us, type Clock, type Us } from '@thornsail/lens';
 
-/** Input and output as Latin-1, a character a byte; `chain` from the oldest turn on, without this one. */
-export type KeptTurn = { chain: string[]; input: string; output: string };
+/**
+ * Input and output as Latin-1, a character a byte; `chain` from the oldest turn on, without this one. `until` is the
+ * wall time up to which it is held, as it was when this copy was read.
+ */
+export type KeptTurn = { chain: string[]; input: string; output: string; until?: Us };
 export type KeptTurns = {
   /** The turns of a chain up to `last`, oldest first; undefined if there is no such turn. Throws rather than guess. */
   chain: (last: string, left: Us) => Promise<{ ids: string[]; text: string } | undefined>;
@@ -15,6 +19,8 @@
 
 /** What this edge remembers of the turns that it kept or read: they never change. */
 const memory = 24 << 20;
+/** A turn's time begins when its answer has ended at the caller, and what continues it is on its way for a while. */
+const slack = us.s(5);
 const register = (id: string): string => `turn/${id}`;
 const sizeOf = (t: KeptTurn): number => t.input.length + t.output.length + 64 * (t.chain.length + 2);
 
@@ -28,7 +34,9 @@
   return {
     get: (id) => all.get(id),
     set: (id, t) => {
-      if (all.has(id)) return;
+      const was = all.get(id);
+      if (was) was.until = Math.max(was.until ?? 0, t.until ?? 0);
+      if (was) return;
       all.set(id, t);
       size += sizeOf(t);
       for (const [old, x] of all) {
@@ -51,6 +59,22 @@
       if (t) near.set(id, t);
       return t;
     };
+    /** Held for twice its span, so that one of a living chain is written again once in that span at most. */
+    const hold = async (id: string, span: Us, left: Us, turn?: KeptTurn): Promise<void> => {
+      const t = await o.registers.change<KeptTurn | undefined>(
+        register(id),
+        (v, w, promised) => {
+          const was = v as KeptTurn | undefined;
+          const next = was ?? turn;
+          if (!next || (was && promised >= w.max + span)) return { keep: true, result: was };
+          const value = { ...next, until: Math.max(promised, w.max + 2 * span) };
+          return { held: { value, until: value.until }, result: value };
+        },
+        left,
+      );
+      if (t) near.set(id, t);
+    };
+    const endsSoon = (id: string, span: Us): boolean => (near.get(id)?.until ?? 0) < o.clock.wall() + span;
     return {
       chain: async (last, left) => {
         const end = await read(last, left);
@@ -63,15 +87,9 @@
         return { ids: [...end.chain, last], text: turns.map((t) => t.input + t.output).join('') };
       },
       keep: async (id, turn, keepSeconds, left) => {
-        await o.registers.change<void>(
-          register(id),
-          (v, w, promised) =>
-            v === undefined
-              ? { held: { value: turn, until: Math.max(promised, w.max + us.s(keepSeconds)) }, result: undefined }
-              : { keep: true, result: undefined },
-          left,
-        );
-        near.set(id, turn);
+        const span = us.s(keepSeconds) + slack;
+        const earlier = turn.chain.filter((x) => endsSoon(x, span)).map((x) => hold(x, span, left));
+        await Promise.all([hold(id, span, left, turn), ...earlier]);
       },
       bytes: () => near.size(),
     };
