A worker that is another one than was meant is given up, and the request goes on to the next

Cause: after a crash the address of a worker is given to another one while the list still shows the old; each request that met it got 421, was refused with 503 where a route allows one worker, and the next request met it again. 421 counts now as a worker that could not be reached: set aside for a second, and no try used up.

--- a/packages/fairway/src/forward/exchange.ts
+++ b/packages/fairway/src/forward/exchange.ts
@@ -100,7 +100,9 @@
       };
       const onEnd = (): void => {
         if (!head) return broken('no answer');
-        if (head.said.notRun) return finish({ how: 'unsent', why: `status ${head.status}`, worker: false }, true);
+        // Another worker at this address: the one that was meant is gone, and has not got it.
+        const { notRun, wrongInstance } = head.said;
+        if (notRun) return finish({ how: 'unsent', why: `status ${head.status}`, worker: wrongInstance }, true);
         if (isStream()) {
           if (!streaming) o.sink.head(head.status, d.passed(head.raw));
           streaming = true;
