A repeat of a key whose outcome is not known is answered 502, not 409

Cause: 409 says that the key is at work; once its first request has ended without an answer it is not, and the audit counts the 409 as a refusal of a proper request. 502 promises nothing, which is what is known. Weighed: 503 (a promise for this try, though the operation may have run).

--- a/packages/fairway/src/forward/forward.ts
+++ b/packages/fairway/src/forward/forward.ts
@@ -124,7 +124,8 @@
   }
   if (!a && (await stillOpen(x, once)))
     return say(r, 409, 'in_progress', 'a request with this key is being served', soon(r));
-  return say(r, 409, 'outcome_unknown', 'a request with this key was sent and its outcome is not known', null);
+  // Nothing is at work any more, and nothing is promised: it may have run.
+  return say(r, 502, 'outcome_unknown', 'a request with this key was sent and its outcome is not known', null);
 };
 const claim = async (r: Run): Promise<Next> => {
   const { x, p } = r;
