One write for what goes over a connection in a turn of the event loop; an ask to several is encoded once

Each frame was two writes of its own, and an ask to three keepers three encodings. Frames are now one buffer, corked until the end of the turn of the event loop; `pipe.askAll` sends one text under one number to several places. Removing a file is one call (`rm` looks at it first). Seen failing: 100 asks and their results take more than 6 writes without the cork; what is written just before `close` is lost without uncorking; the body is read more than once without the memo.

--- a/packages/lens/src/real.ts
+++ b/packages/lens/src/real.ts
@@ -45,7 +45,7 @@
 };
 
 /** The calls that a data folder needs; a test brings ones that fail. */
-export type FileCalls = Pick<typeof fs, 'open' | 'rename' | 'readFile' | 'readdir' | 'rm' | 'mkdir'>;
+export type FileCalls = Pick<typeof fs, 'open' | 'rename' | 'readFile' | 'readdir' | 'rm' | 'unlink' | 'mkdir'>;
 const noRoom = new Set(['ENOSPC', 'EDQUOT']);
 const diskFault = (step: string, e: unknown): Error => {
   const full = step === 'write' && noRoom.has((e as NodeJS.ErrnoException).code ?? '');
@@ -123,7 +123,10 @@
       await Promise.all(old.map((f) => calls.rm(path.join(folder, f), { force: true })));
       return all.filter((f) => !f.startsWith('.aside-')).sort();
     },
-    drop: async (name) => calls.rm(path.join(folder, name), { force: true }),
+    drop: async (name) =>
+      calls.unlink(path.join(folder, name)).catch((e: NodeJS.ErrnoException) => {
+        if (e.code !== 'ENOENT') throw diskFault('remove', e);
+      }),
   };
 };
 
@@ -161,14 +164,17 @@
   new Promise((done, fail) => {
     const out = new Map<Place, net.Socket>();
     const inn = new Set<net.Socket>();
+    /** All that is written within one turn of the event loop goes out together. */
     const write = (s: net.Socket, text: string): void => {
-      const b = Buffer.from(text, 'utf8');
-      const h = Buffer.allocUnsafe(4);
-      h.writeUInt32BE(b.length);
-      s.cork();
-      s.write(h);
+      const size = Buffer.byteLength(text, 'utf8');
+      const b = Buffer.allocUnsafe(4 + size);
+      b.writeUInt32BE(size);
+      b.write(text, 4, 'utf8');
+      if (s.writableCorked === 0) {
+        s.cork();
+        setImmediate(() => s.uncork());
+      }
       s.write(b);
-      s.uncork();
     };
     let self: Place = at;
     let closing = false;
@@ -223,6 +229,8 @@
         close: () =>
           new Promise((fin) => {
             closing = true;
+            // What was written in this turn goes out first.
+            for (const s of out.values()) s.uncork();
             for (const s of [...out.values(), ...inn]) s.destroy();
             server.close(() => fin());
           }),
--- a/packages/pipe/src/index.ts
+++ b/packages/pipe/src/index.ts
@@ -13,6 +13,8 @@
   at: Place;
   tell: (to: Place, kind: string, body: unknown) => void;
   ask: <T>(to: Place, kind: string, body: unknown, timeLeft?: Us) => Promise<T>;
+  /** The same ask to several, encoded once; one result for each, in their order. */
+  askAll: <T>(tos: Place[], kind: string, body: unknown, timeLeft?: Us) => Promise<T>[];
   /** A body that has not this shape is refused before `fn` sees it. */
   on: <B>(kind: string, ok: Shape, fn: (body: B, from: Place) => unknown) => void;
   counts: () => { sent: number; got: number };
@@ -37,20 +39,26 @@
     const handlers = new Map<string, (body: unknown, from: Place) => unknown>();
     // Results come over the sibling's own pipe, so one for this place's former process may still be on its way:
     // the numbers of two processes must never meet.
-    const self = lens.rand.id();
+    const self = lens.rand.id().slice(0, 10);
+    /** By the ask's number and the place that was asked: one ask may go to several. */
     const open = new Map<string, { done: (v: unknown) => void; fail: (e: Error) => void; to: Place; kind: string }>();
     let n = 0;
     const c = { sent: 0, got: 0 };
     let closed = false;
-    const send = (to: Place, f: Omit<Frame, 'p'>): void => {
+    const encode = (f: Omit<Frame, 'p'>): string => stringify({ p: protocol.mark, ...f });
+    const sendText = (to: Place, text: string): void => {
       if (closed) return;
       c.sent += 1;
-      frames.send(to, stringify({ p: protocol.mark, ...f }));
+      frames.send(to, text);
+    };
+    const send = (to: Place, f: Omit<Frame, 'p'>): void => {
+      if (!closed) sendText(to, encode(f));
     };
     const settle = (from: Place, f: Frame): void => {
-      const w = open.get(f.n);
-      if (!w || w.to !== from) return;
-      open.delete(f.n);
+      const id = `${f.n} ${from}`;
+      const w = open.get(id);
+      if (!w) return;
+      open.delete(id);
       if (f.k === 'result') w.done(f.b);
       else w.fail(fault.make({ step: w.kind, sibling: from, code: 'remote' }, String(f.b)));
     };
@@ -90,44 +98,51 @@
         }
     };
     const frames = await lens.net.frames(at, got, down, bad);
+    const askHere = async <T>(kind: string, body: unknown): Promise<T> => {
+      await undefined;
+      const h = handlers.get(kind);
+      if (!h) throw fault.make({ step: kind, sibling: frames.at }, 'no such message');
+      return (await h(parse(stringify(body)), frames.at)) as T;
+    };
+    const wait = <T>(to: Place, kind: string, id: string, timeLeft: Us): Promise<T> =>
+      new Promise((done, fail) => {
+        const stop = lens.clock.tick(timeLeft, () => {
+          open.delete(id);
+          fail(fault.make({ step: kind, sibling: to, code: 'late' }, 'no result in time'));
+        });
+        open.set(id, {
+          to,
+          kind,
+          done: (v) => {
+            stop();
+            done(v as T);
+          },
+          fail: (e) => {
+            stop();
+            fail(e);
+          },
+        });
+      });
+    const askAll = <T>(tos: Place[], kind: string, body: unknown, timeLeft: Us = us.ms(500)): Promise<T>[] => {
+      const id = `${self}.${++n}`;
+      let text: string | undefined;
+      const one = async (to: Place): Promise<T> => {
+        if (to === frames.at) return askHere<T>(kind, body);
+        text ??= encode({ k: 'ask', t: kind, n: id, b: body });
+        const result = wait<T>(to, kind, `${id} ${to}`, timeLeft);
+        sendText(to, text);
+        return result;
+      };
+      return tos.map(one);
+    };
     return {
       at: frames.at,
       tell: (to, kind, body) => {
         if (to === frames.at) void Promise.resolve().then(() => handlers.get(kind)?.(parse(stringify(body)), to));
         else send(to, { k: 'tell', t: kind, n: '', b: body });
       },
-      ask: <T>(to: Place, kind: string, body: unknown, timeLeft: Us = us.ms(500)) =>
-        new Promise<T>((done, fail) => {
-          if (to === frames.at) {
-            const h = handlers.get(kind);
-            if (!h) {
-              fail(fault.make({ step: kind, sibling: to }, 'no such message'));
-              return;
-            }
-            Promise.resolve()
-              .then(() => h(parse(stringify(body)), to))
-              .then((v) => done(v as T), fail);
-            return;
-          }
-          const id = `${self}.${++n}`;
-          const stop = lens.clock.tick(timeLeft, () => {
-            open.delete(id);
-            fail(fault.make({ step: kind, sibling: to, code: 'late' }, 'no result in time'));
-          });
-          open.set(id, {
-            to,
-            kind,
-            done: (v) => {
-              stop();
-              done(v as T);
-            },
-            fail: (e) => {
-              stop();
-              fail(e);
-            },
-          });
-          send(to, { k: 'ask', t: kind, n: id, b: body });
-        }),
+      ask: <T>(to: Place, kind: string, body: unknown, timeLeft?: Us) => askAll<T>([to], kind, body, timeLeft)[0]!,
+      askAll,
       on: (kind, ok, fn) =>
         void handlers.set(kind, (body, from) => {
           if (ok(body)) return (fn as (body: unknown, from: Place) => unknown)(body, from);
