A refused key is free at once where each attempt has its own id; waits of all edges count

Ruled out: a longer Retry-After (clients honour a third of their time only). And the early refusal compared one edge's line with the slots of all.

--- a/packages/berth/src/index.ts
+++ b/packages/berth/src/index.ts
@@ -51,6 +51,8 @@
   list: () => WorkerEntry[];
   /** Slots that a class may use at most while every other class wants its own. */
   entitled: (cls: string) => number;
+  /** Turns of a class that wait, at all edges. */
+  waiting: (cls: string) => number;
   bad: (worker: string, until: Us) => void;
 };
 
@@ -177,6 +179,7 @@
       get: (id) => all.get(id),
       list: () => [...all.values()].sort((a, b) => (a.id < b.id ? -1 : 1)),
       entitled,
+      waiting: waits,
       bad: (worker, until) => void bad.set(worker, until),
     };
   },
--- a/packages/fairway/src/admission.ts
+++ b/packages/fairway/src/admission.ts
@@ -265,7 +265,8 @@
         if (!berths.list().some((w) => groupOf(w) === service && !w.leaving && !o.not.has(w.id)))
           return { got: Promise.resolve<Slot>({ ok: false, why: 'none' }), ...none };
         // Early rejection: what cannot be had in time is said at once, not at the end of the wait (§4.3).
-        const ahead = (q.length + 1) / Math.max(1, berths.entitled(cls));
+        // What waits at the other edges wants the same slots.
+        const ahead = (berths.waiting(cls) + 1) / Math.max(1, berths.entitled(cls));
         if (q.length >= (config?.classes[cls]?.buffer ?? 0) || o.limit <= 0 || ahead * expected(cls) > o.limit) {
           c.slotRejects += 1;
           return { got: Promise.resolve<Slot>({ ok: false, why: 'full' }), ...none };
--- a/packages/fairway/src/books.ts
+++ b/packages/fairway/src/books.ts
@@ -31,7 +31,8 @@
 export type Charged = { ok: true; purse: Purse } | { ok: false; why: 'spent' | 'open' };
 export type Books = {
   claim: (k: Key, turn: string, left: Us) => Promise<Claimed>;
-  unclaim: (k: Key, turn: string) => Promise<void>;
+  /** `quiet`: how long copies of this very attempt may still be on their way. */
+  unclaim: (k: Key, turn: string, quiet?: Us) => Promise<void>;
   record: (k: Key, turn: string, done: Done | Answer) => Promise<void>;
   purse: (program: string, left: Us) => Promise<Purse | undefined>;
   charge: (a: Account, turn: string, reserve: number, left: Us) => Promise<Charged>;
@@ -126,10 +127,10 @@
           left,
         ),
       /** Only from a stage in which nothing was sent. */
-      unclaim: async (k, turn) => {
+      unclaim: async (k, turn, quiet = refusedQuiet) => {
         // A copy that was already on its way must not run after "not run" was said: until the caller may come back
         // the key stays claimed. The time is this edge's own; no two machines' clocks are compared (§5.4).
-        await time.sleep(lens.clock, refusedQuiet);
+        if (quiet > 0) await time.sleep(lens.clock, quiet);
         const free = (v: unknown): Write<void> =>
           (v as Once | undefined)?.turn === turn
             ? { held: null, result: undefined }
--- a/packages/fairway/src/forward/forward.ts
+++ b/packages/fairway/src/forward/forward.ts
@@ -93,7 +93,8 @@
   const ran = r.st.ran() !== 'no';
   const close = async (): Promise<void> => {
     if (charged) await (ran ? settle(r, actual(r), null) : x.books.giveBack(charged, r.id));
-    if (claimed && !ran) await x.books.unclaim(claimed, r.id);
+    // Each attempt has an id of its own here: no copy of this one can be on its way, so the key is free at once.
+    if (claimed && !ran) await x.books.unclaim(claimed, r.id, 0);
   };
   void close().finally(() => x.inFlight.delete(r.id));
   say(r, status, error, text, retryAfter);
@@ -145,7 +146,7 @@
     r.st.go('reject');
     say(r, 502, 'no_keepers', 'the claim could not be kept by a majority', null);
     r.closing = true;
-    void x.books.unclaim(key, r.id).finally(() => x.inFlight.delete(r.id));
+    void x.books.unclaim(key, r.id, 0).finally(() => x.inFlight.delete(r.id));
     return 'done';
   }
   if (c.ok) {
