--- a/packages/fairway/src/index.ts
+++ b/packages/fairway/src/index.ts
@@ -61,26 +61,19 @@
 const retryBudget = 10;
 
 /** The workers as the news has them: the newest list, and leaving wherever any fresh list says so (§3.8). */
-export const workersOf = (beam: Beam, now: Us, own: string | undefined): WorkerEntry[] => {
+export const workersOf = (beam: Beam, now: Us): WorkerEntry[] => {
   const items = beam
     .all('workers/')
     .map((x) => ({ name: x.name, at: x.item.at, list: (x.item.value as WorkersNews).list }));
   if (items.length === 0) return [];
   const fresh = items.filter((x) => now - x.at < us.s(4));
   const newest = [...items].sort((a, b) => b.at - a.at)[0]!;
-  const base = fresh.find((x) => x.name === own) ?? newest;
   const leaving = new Set(fresh.flatMap((x) => x.list.filter((w) => w.leaving).map((w) => w.id)));
-  return base.list.map((w) => ({ ...w, leaving: w.leaving || leaving.has(w.id) }));
+  return newest.list.map((w) => ({ ...w, leaving: w.leaving || leaving.has(w.id) }));
 };
 
 export const fairway = {
-  open: (o: {
-    lens: Lens;
-    pipe: Pipe;
-    mooring: Mooring;
-    pilotId?: () => string | undefined;
-    plain?: boolean;
-  }): Fairway => {
+  open: (o: { lens: Lens; pipe: Pipe; mooring: Mooring; plain?: boolean }): Fairway => {
     const { lens, pipe, mooring } = o;
     const { clock } = lens;
     const log = lens.log('fairway');
@@ -146,8 +139,7 @@
       reports.changed();
     };
     const takeWorkers = (): void => {
-      const pilot = o.pilotId?.();
-      const list = workersOf(mooring.beam, clock.now(), pilot === undefined ? undefined : `workers/${pilot}`);
+      const list = workersOf(mooring.beam, clock.now());
       adm.workers(list);
       pool.retain(new Set(list.map((w) => w.id)));
     };
@@ -175,7 +167,7 @@
       const why: string[] = [];
       if (leaving) why.push('leaving');
       if (!config) why.push('no configuration');
-      if (!workersOf(mooring.beam, clock.now(), undefined).some((w) => !w.leaving)) why.push('no workers');
+      if (!workersOf(mooring.beam, clock.now()).some((w) => !w.leaving)) why.push('no workers');
       if (!keepersOk) why.push('no keeper majority');
       if (!inTouch()) why.push('cut off from most others');
       return { ok: why.length === 0, why };
--- a/packages/fog/src/guards.ts
+++ b/packages/fog/src/guards.ts
@@ -195,8 +195,8 @@
     'acknowledged means the fronts use it',
     '8 configuration',
     'tower/src/core.js',
-    'if (!result.ok || !o.uses)',
-    'if (true)',
+    'if (!result.ok || !o.uses || ',
+    'if (true || ',
     { test: 'fog/test/config.test.js' },
   ),
   g(
--- a/packages/harbour/src/index.ts
+++ b/packages/harbour/src/index.ts
@@ -60,6 +60,7 @@
     let okAt: Us | undefined;
     let failed = false;
     let lastNamed = -Infinity;
+    let notBefore = -Infinity;
     /** A platform that names nobody all at once is more likely ill than right: for a while the last list stands. */
     const doubt = (list: PlatformWorker[]): void => {
       const now = o.lens.clock.now();
@@ -68,7 +69,7 @@
     };
     const poll = async (): Promise<void> => {
       try {
-        if (o.due && !o.due()) return;
+        if (o.due && (!o.due() || o.lens.clock.now() < notBefore)) return;
         const list = await (o.read ? o.read() : ownFormat(o.lens, o.platform!));
         doubt(list);
         okAt = o.lens.clock.now();
@@ -76,6 +77,8 @@
         failed = false;
         o.onList(list);
       } catch (e) {
+        // An ill platform is not asked by everybody all the time.
+        notBefore = o.lens.clock.now() + us.ms(400 + o.lens.rand.int(400));
         if (!failed) log(`no list of workers: ${fault.text(e)}.`);
         failed = true;
       }
--- a/packages/thornsail/src/roles.ts
+++ b/packages/thornsail/src/roles.ts
@@ -202,7 +202,7 @@
       onLead: (mark) => here.moor?.beam.put('core', mark, {}),
       times: { keepers: 2 * o.tolerates + 1, towers: 2 * o.tolerates + 1, leastKeepers: o.leastKeepers },
       news: (): NewsResult => ({
-        workers: here.moor ? workersOf(here.moor.beam, lens.clock.now(), undefined) : [],
+        workers: here.moor ? workersOf(here.moor.beam, lens.clock.now()) : [],
         loads: Object.fromEntries((here.moor?.beam.all('load/') ?? []).map((x) => [x.name.slice(5), x.item.value])),
         duties: Object.fromEntries(Object.entries(voter.grants()).map(([k, g]) => [k, { by: g.by, mark: g.mark }])),
       }),
@@ -335,7 +335,7 @@
     let last = '';
     let lastPut = 0;
     const known = (worker: string): WorkerEntry | undefined =>
-      workersOf(m.beam, lens.clock.now(), undefined).find((w) => w.id === worker);
+      workersOf(m.beam, lens.clock.now()).find((w) => w.id === worker);
     const { read } = extra;
     const h = harbour.open({
       lens,
@@ -368,7 +368,7 @@
         ];
         return { ok: why.length === 0, why };
       },
-      counts: () => ({ ...commonCounts(p, m), workers: workersOf(m.beam, lens.clock.now(), undefined).length }),
+      counts: () => ({ ...commonCounts(p, m), workers: workersOf(m.beam, lens.clock.now()).length }),
       drain: async () => {
         leaving = true;
       },
@@ -396,10 +396,6 @@
       pipe: p,
       mooring: m,
       ...extra,
-      pilotId: () => {
-        const s = m.state();
-        return s ? order.live(s, 'pilot').find((x) => x.place === o.pilot)?.id : undefined;
-      },
     });
     return serve({
       lens,
