--- a/packages/fog/test/registers.test.ts
+++ b/packages/fog/test/registers.test.ts
@@ -1,19 +1,41 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { registers, store, sweep, type Group, type Registers, type SweepResult } from '@thornsail/keeper';
+import { registers, store, sweep, type Group, type Registers, type Store, type SweepResult } from '@thornsail/keeper';
 import { fault, invariant, us } from '@thornsail/lens';
 import { logbook } from '@thornsail/logbook';
 import { pipe } from '@thornsail/pipe';
 import { world, type Host } from '@thornsail/fog';
 
-type Op = { id: string; key: string; from: number; to: number; saw: string[] | null; ok: boolean };
+type Op = {
+  id: string;
+  key: string;
+  from: number;
+  to: number;
+  saw: string[] | null;
+  ok: boolean;
+  reads?: boolean;
+};
 
-/** Linearizable: every result is a prefix of the last value, in real-time order, each id at most once. */
+/**
+ * Linearizable: every result is a prefix of the last value, in real-time order, each id at most once. A read is a
+ * prefix, too: it shows all that ended before it began, and nothing that began after it ended.
+ */
 const check = (ops: Op[], last: Map<string, string[]>): string[] => {
   const out: string[] = [];
   for (const [key, list] of last) {
     if (new Set(list).size !== list.length) out.push(`${key}: an append took effect twice`);
-    for (const o of ops.filter((x) => x.key === key && x.ok)) {
+    const reads = ops.filter((x) => x.key === key && x.ok && x.reads);
+    for (const o of reads) {
+      const n = o.saw!.length;
+      if (o.saw!.join() !== list.slice(0, n).join()) out.push(`${key}: a read saw what never was`);
+      for (const p of ops) {
+        if (p.key !== key || p === o || !p.ok) continue;
+        const at = p.reads ? p.saw!.length - 1 : list.indexOf(p.id);
+        if (p.to < o.from && at >= n) out.push(`${key}: a read missed ${p.id}, which ended before it`);
+        if (!p.reads && o.to < p.from && at < n) out.push(`${key}: a read saw ${p.id} before it began`);
+      }
+    }
+    for (const o of ops.filter((x) => x.key === key && x.ok && !x.reads)) {
       const at = list.indexOf(o.id);
       if (at < 0) {
         out.push(`${key}: an acknowledged append is lost`);
@@ -21,7 +43,7 @@
       }
       if (o.saw!.join() !== list.slice(0, at).join()) out.push(`${key}: ${o.id} saw what was never before it`);
       for (const p of ops)
-        if (p.key === key && p.ok && p.to < o.from && list.indexOf(p.id) > at)
+        if (p.key === key && p.ok && !p.reads && p.to < o.from && list.indexOf(p.id) > at)
           out.push(`${key}: ${p.id} ended before ${o.id} began, yet follows it`);
     }
   }
@@ -30,8 +52,8 @@
 
 const history = async (
   seed: number,
-  o: { faults: boolean; regroup: boolean },
-): Promise<{ problems: string[]; done: number; unknown: number }> => {
+  o: { faults: boolean; regroup: boolean; mixed?: boolean },
+): Promise<{ problems: string[]; done: number; unknown: number; reads: number }> => {
   invariant.clear();
   // With faults the disk is slower than the network, or a missing sync would never show.
   const w = world.open({
@@ -64,7 +86,14 @@
     hosts.push(h);
     const lens = w.lens(h);
     void pipe.open(lens, `127.0.1.${e}:7101`).then((p) => {
-      edges[e] = registers.open({ lens, pipe: p, by: `edge${e}`, group: () => (w.now() < lag[e]! ? old : group) });
+      const near = (id: string): number => (o.mixed && id === `k${e + 1}` ? 0 : 1);
+      edges[e] = registers.open({
+        lens,
+        pipe: p,
+        by: `edge${e}`,
+        near,
+        group: () => (w.now() < lag[e]! ? old : group),
+      });
     });
   }
   await w.run(us.ms(50));
@@ -115,6 +144,31 @@
         });
     });
   }
+  // Reads of several keys, reservations some time before a change, and extensions in between.
+  const wall = w.lens(w.host('127.0.8.8', 'z1')).clock.wall;
+  const all = [0, 1, 2].map((k) => `key${k}`);
+  const look = (edge: Registers, some: string[]): void => {
+    const from = w.now();
+    edge.readMany(some, us.ms(700)).then(
+      (lists) => {
+        for (const [i, key] of some.entries()) {
+          const saw = (lists[i] as string[] | undefined) ?? [];
+          ops.push({ id: 'a read', key, from, to: w.now(), saw, ok: true, reads: true });
+        }
+      },
+      () => undefined,
+    );
+  };
+  if (o.mixed)
+    for (let i = 0; i < 60; i++) {
+      const [e, what, key] = [r.int(3), r.int(4), all[r.int(3)]!];
+      w.at(us.ms(50) + r.int(us.s(3)), () => {
+        const edge = edges[e]!;
+        if (what === 0) void edge.reserve(key, us.ms(500)).catch(() => undefined);
+        else if (what === 1) void edge.extend(all, wall() + us.s(9999 + i), us.ms(500)).catch(() => undefined);
+        else look(edge, what === 2 ? all : [key]);
+      });
+    }
   // Every other history has a network that loses, doubles and reorders.
   if (o.faults && seed % 2 === 0) {
     w.rough(0.05, us.ms(10));
@@ -159,8 +213,9 @@
   assert.is(last.size, 3, 'the registers could not be read at the end');
   return {
     problems: [...check(ops, last), ...invariant.breaches()],
-    done: ops.filter((x) => x.ok).length,
+    done: ops.filter((x) => x.ok && !x.reads).length,
     unknown: ops.filter((x) => !x.ok).length,
+    reads: ops.filter((x) => x.reads).length,
   };
 };
 
@@ -194,6 +249,36 @@
     assert.ok(h.done > 30);
   }
 });
+test('with reservations, reads of many keys from the nearest keeper and extensions in between: the same', async () => {
+  for (const [faults, regroup] of [
+    [false, false],
+    [true, false],
+    [false, true],
+  ] as const) {
+    let reads = 0;
+    let done = 0;
+    for (let s = 1; s <= 24; s++) {
+      const h = await history(s, { faults, regroup, mixed: true });
+      assert.equal(h.problems, [], `seed ${s}`);
+      reads += h.reads;
+      done += h.done;
+    }
+    assert.ok(reads > 24 * 30 && done > 24 * 20, `${reads} reads, ${done} appends`);
+  }
+});
+test('the checker itself finds a read that is behind, ahead, or of what never was', () => {
+  const op = (id: string, from: number, to: number, saw: string[], reads = false): Op => ({
+    ...{ id, key: 'k', from, to, saw, ok: true },
+    ...(reads ? { reads } : {}),
+  });
+  const [a, b] = [op('a', 0, 1, []), op('b', 4, 5, ['a'])];
+  const last = new Map([['k', ['a', 'b']]]);
+  assert.equal(check([a, b, op('r', 2, 3, ['a'], true), op('r', 2, 6, ['a', 'b'], true)], last), []);
+  assert.is(check([a, b, op('r', 2, 3, [], true)], last).length, 1);
+  assert.is(check([a, b, op('r', 2, 3, ['a', 'b'], true)], last).length, 1);
+  assert.ok(check([a, b, op('r', 2, 3, ['b'], true)], last).length > 0);
+  assert.is(check([a, b, op('r', 4, 5, ['a', 'b'], true), op('r', 6, 7, ['a'], true)], last).length, 2);
+});
 
 /** Keepers by number, one proposer, and a story told in simulated time. */
 const stage = async (
@@ -201,7 +286,7 @@
   tell: (x: {
     w: ReturnType<typeof world.open>;
     regs: Registers;
-    boot: (i: number) => Promise<void>;
+    boot: (i: number) => Promise<Store>;
     hosts: Host[];
     group: (mark: number, ids: number[]) => void;
     pass: (all: boolean) => Promise<SweepResult>;
@@ -212,10 +297,10 @@
   const w = world.open({ seed, zoneDelay: us.ms(1), clientDelay: us.ms(1), clientIp: '127.0.9.9' });
   const at = (i: number): string => `127.0.2.${i}:7101`;
   const hosts = [1, 2, 3, 4].map((i) => w.host(`127.0.2.${i}`, 'z1'));
-  const boot = async (i: number): Promise<void> => {
+  const boot = async (i: number): Promise<Store> => {
     const lens = w.lens(hosts[i - 1]!);
     const p = await pipe.open(lens, at(i));
-    await store.open({ lens, pipe: p, book: await logbook.open(lens.disk), freshId: `k${i}` });
+    return store.open({ lens, pipe: p, book: await logbook.open(lens.disk), freshId: `k${i}` });
   };
   let group: Group = { mark: 0, members: [] };
   const lens = w.lens(w.host('127.0.1.1', 'z1'));
@@ -309,10 +394,10 @@
     await wait(us.s(700));
     assert.is((await pass(false)).purged, 1);
     assert.is(await regs.read('k', us.s(2)), undefined);
-    for (const h of hosts.slice(0, 3))
-      assert.not.ok(
-        [...h.files.keys()].some((f) => f.startsWith('reg%3Ak.')),
-        'a copy is left on disk',
-      );
+    for (const i of [1, 2, 3]) {
+      w.kill(hosts[i - 1]!, 'power');
+      w.start(hosts[i - 1]!);
+      assert.is((await boot(i)).size(), 0, 'a copy is left on disk');
+    }
   }));
 test.run();
--- /dev/null
+++ b/packages/keeper/src/members.ts
@@ -0,0 +1,180 @@
+// Asking the members of the keeper group (§6.2): the same text to all that know the group, the whole group to others,
+// and an answer as soon as a majority has given it.
+import { fault, hash, us, type Lens, type Us } from '@thornsail/lens';
+import type { Pipe } from '@thornsail/pipe';
+import { ballot, type Ballot, type Group, type Keep, type Refusal, type Reply } from './messages.js';
+
+export const majority = (n: number): number => Math.floor(n / 2) + 1;
+export type Asked<T> = { from: Keep; reply: Promise<Reply<T>> };
+export type Good<T> = { from: Keep; reply: Extract<Reply<T>, { ok: true }> };
+export type Round<T> = {
+  /** A majority, unless there can be none. */
+  ok: Good<T>[];
+  no: Refusal[];
+  /** All that there were in the end. */
+  late: Promise<Good<T>[]>;
+};
+export type Members = {
+  /** The newest group that this node knows; throws with code 'no-majority' if it knows none. */
+  group: () => Group;
+  /** Takes in a newer group, and gives the highest ballot that stood in the way. */
+  learn: (no: Refusal[]) => Ballot;
+  /**
+   * Members for which `body` gives the same object are sent the same text. `whole` goes with it to those that do not
+   * know the group yet, which may be of the release before.
+   */
+  ask: <T>(
+    g: Group,
+    kind: string,
+    body: (k: Keep) => object,
+    left: Us,
+    o?: { only?: Keep[]; whole?: object },
+  ) => Asked<T>[];
+  /** Resolves with a majority; if `enough` wants more, up to `patience` later. */
+  gather: <T>(asked: Asked<T>[], enough?: (ok: Good<T>[], failed: Keep[]) => boolean) => Promise<Round<T>>;
+  /** Members by nearness, for this key; those that were slow just now come last. */
+  near: (g: Group, key: string) => Keep[];
+  /** No ballot up to this one will do for a key that is not there (§6.4). */
+  floor: () => number;
+};
+
+/** What a majority is kept waiting for one more answer that would save a round. */
+const patience = us.ms(3);
+/** How long one that was slow is not asked for values. */
+const slowFor = us.s(2);
+
+export const members = {
+  open: (o: {
+    lens: Lens;
+    pipe: Pipe;
+    group: () => Group | undefined;
+    near?: (keeperId: string) => number;
+  }): Members => {
+    const { lens, pipe } = o;
+    const { clock } = lens;
+    const near = o.near ?? ((): number => 0);
+    let ahead: Group | undefined;
+    let floor = 0;
+    /** The mark under which a keeper said that it knows the group. */
+    const knows = new Map<string, number>();
+    const slow = new Map<string, Us>();
+
+    const whole = async <T>(g: Group, k: Keep, kind: string, body: object, left: Us): Promise<Reply<T>> => {
+      const r = await pipe.ask<Reply<T>>(k.at, kind, { to: k.id, group: g, ...body }, left);
+      if (r.ok && r.lean) knows.set(k.id, g.mark);
+      return r;
+    };
+    const ask: Members['ask'] = <T>(
+      g: Group,
+      kind: string,
+      body: (k: Keep) => object,
+      left: Us,
+      x: { only?: Keep[]; whole?: object } = {},
+    ): Asked<T>[] => {
+      const end = clock.now() + left;
+      const same = new Map<object, Keep[]>();
+      const out: Asked<T>[] = [];
+      for (const k of x.only ?? g.members) {
+        const b = body(k);
+        if (knows.get(k.id) === g.mark) same.set(b, [...(same.get(b) ?? []), k]);
+        else out.push({ from: k, reply: whole<T>(g, k, kind, { ...x.whole, ...b }, left) });
+      }
+      for (const [b, ks] of same) {
+        const all = pipe.askAll<Reply<T>>(
+          ks.map((k) => k.at),
+          kind,
+          { group: g.mark, ...b },
+          left,
+        );
+        for (const [i, k] of ks.entries()) {
+          const reply = all[i]!.then((r) => {
+            if (r.ok || r.why !== 'unknown') return r;
+            // One that lost what it knew, or another one in its place.
+            knows.delete(k.id);
+            return whole<T>(g, k, kind, { ...x.whole, ...b }, Math.max(0, end - clock.now()));
+          });
+          out.push({ from: k, reply });
+        }
+      }
+      return out;
+    };
+    const gather: Members['gather'] = <T>(
+      asked: Asked<T>[],
+      enough: (ok: Good<T>[], failed: Keep[]) => boolean = () => true,
+    ): Promise<Round<T>> =>
+      new Promise((done) => {
+        const ok: Good<T>[] = [];
+        const no: Refusal[] = [];
+        const failed: Keep[] = [];
+        const need = majority(asked.length);
+        let open = asked.length;
+        let said = false;
+        let waits: (() => void) | undefined;
+        const late = (): Promise<Good<T>[]> => all.then((x) => x.flatMap((y) => (y ? [y] : [])));
+        const say = (): void => {
+          if (said) return;
+          said = true;
+          waits?.();
+          done({ ok: [...ok], no: [...no], late: late() });
+        };
+        const check = (): void => {
+          if (said) return;
+          if (open === 0 || ok.length + open < need) say();
+          else if (ok.length < need) return;
+          else if (enough(ok, failed)) say();
+          else
+            waits ??= clock.tick(patience, () => {
+              for (const a of asked) if (!ok.some((x) => x.from === a.from)) slow.set(a.from.id, clock.now() + slowFor);
+              say();
+            });
+        };
+        const one = async (a: Asked<T>): Promise<Good<T> | undefined> => {
+          try {
+            const r = await a.reply;
+            open -= 1;
+            if (r.ok) {
+              floor = Math.max(floor, r.floor ?? 0);
+              ok.push({ from: a.from, reply: r });
+              return { from: a.from, reply: r };
+            }
+            no.push(r);
+            failed.push(a.from);
+          } catch {
+            open -= 1;
+            failed.push(a.from);
+            slow.set(a.from.id, clock.now() + slowFor);
+          } finally {
+            check();
+          }
+          return undefined;
+        };
+        const all = Promise.all(asked.map(one));
+        if (asked.length === 0) say();
+      });
+    return {
+      group: () => {
+        const g = o.group();
+        const best = ahead && (!g || ahead.mark > g.mark) ? ahead : g;
+        if (!best) throw fault.make({ step: 'register', code: 'no-majority' }, 'no keeper group is known');
+        return best;
+      },
+      learn: (no) => {
+        let top = ballot.zero;
+        for (const r of no) {
+          if (r.why === 'group' && (!ahead || r.group.mark > ahead.mark)) ahead = r.group;
+          if (r.why === 'ballot') top = ballot.max(top, r.promised);
+        }
+        return top;
+      },
+      ask,
+      gather,
+      near: (g, key) => {
+        const rank = (k: Keep): number => ((slow.get(k.id) ?? 0) > clock.now() ? Infinity : near(k.id));
+        return [...g.members].sort(
+          (a, b) => (rank(a) === rank(b) ? 0 : rank(a) - rank(b)) || hash.of(key + a.id) - hash.of(key + b.id),
+        );
+      },
+      floor: () => floor,
+    };
+  },
+};
--- /dev/null
+++ b/packages/keeper/src/messages.ts
@@ -0,0 +1,92 @@
+// What proposers, keepers and the sweep say to one another (§6.2, §6.3), and what a keeper holds.
+import { place, type Place, type Us } from '@thornsail/lens';
+import { shape } from '@thornsail/pipe';
+
+export type Ballot = [n: number, by: string];
+export const ballot = {
+  zero: [0, ''] as Ballot,
+  cmp: (a: Ballot, b: Ballot): number => a[0] - b[0] || (a[1] < b[1] ? -1 : a[1] > b[1] ? 1 : 0),
+  max: (a: Ballot, b: Ballot): Ballot => (ballot.cmp(a, b) >= 0 ? a : b),
+  same: (a: Ballot, b: Ballot): boolean => a[0] === b[0] && a[1] === b[1],
+};
+/**
+ * A value; `until` is wall time, after which it counts as absent (§6.4), 0 if it was removed; `ops` names its last
+ * changes (§6.2).
+ */
+export type Held = { value: unknown; until: Us; ops: string[] };
+/**
+ * `extended` is an end of keeping that came without a ballot: the greatest of a majority counts, whatever the value
+ * says, and it goes with the copy alone (§6.4).
+ */
+export type Copy = { promised: Ballot; accepted: Ballot; held: Held | null; touched: Us; extended?: Us };
+export type Keep = { id: string; at: Place };
+export type Group = { mark: number; members: Keep[] };
+
+/** The whole group for a keeper that may not know it, else its mark (§6.2). */
+export type Base = { to?: string; group: Group | number };
+/** `has`: the asker holds the value of this ballot; `bare`: it wants no value. `lean`: it needs no copy at all. */
+export type PrepareAsk = Base & { key: string; ballot: Ballot; has?: Ballot; bare?: boolean; lean?: boolean };
+export type AcceptAsk = Base & {
+  key: string;
+  ballot: Ballot;
+  held: Held | null;
+  next: Ballot | null;
+  extended?: Us;
+  lean?: boolean;
+};
+export type ReadAsk = Base & { key?: string; keys?: string[]; bare?: boolean };
+export type MendAsk = Base & { key: string; ballot: Ballot; held: Held | null; extended?: Us };
+export type ExtendAsk = Base & { keys: string[]; until: Us };
+export type DropAsk = Base & { keys: [string, Ballot][]; wall: Us };
+
+/** What a reply says of a copy. `held` is left out if it was not wanted; a value that is none is always said. */
+export type Seen = { accepted: Ballot; until?: Us; extended?: Us; held?: Held | null };
+export type Refusal =
+  | { ok: false; why: 'ballot'; promised: Ballot }
+  | { ok: false; why: 'group'; group: Group }
+  /** `unknown`: this keeper does not know that mark, and needs the whole group. */
+  | { ok: false; why: 'identity' | 'unknown' };
+/** `lean`: this keeper knows the group now, and its mark is enough. `floor`: see the store's own (§6.4). */
+export type Reply<T> = ({ ok: true; wall: Us; lean?: boolean; floor?: number } & T) | Refusal;
+export type PrepareReply = { copy: Seen };
+export type AcceptReply = { copy?: Copy };
+export type ReadReply = { copy?: Seen; copies?: Seen[] };
+export type ExtendReply = { found: boolean[] };
+export type ListResult =
+  | {
+      ok: true;
+      keys: { key: string; accepted: Ballot; until: Us; touched: Us; extended?: Us }[];
+      next: string | null;
+      wall: Us;
+    }
+  | { ok: false; group: Group | null };
+export type DigestResult =
+  { ok: true; digests: number[]; due: boolean[]; wall: Us } | { ok: false; group: Group | null };
+export type DueResult = { ok: true; keys: [string, Ballot][]; wall: Us } | { ok: false };
+
+/** Until when a value is kept, with an extension of it; what was removed stays so, whatever extended it before. */
+export const keptUntil = (until: Us, extended: Us): Us => (until === 0 ? 0 : Math.max(until, extended));
+/** Until when the value itself says that it is kept. */
+export const untilOf = (x: { until?: Us; held?: Held | null }): Us => x.until ?? x.held?.until ?? 0;
+
+const isGroup = shape.has({
+  mark: shape.whole,
+  members: shape.list(shape.has({ id: shape.text, at: place.ok })),
+});
+const base = { to: shape.maybe(shape.text), group: shape.either(shape.whole, isGroup) };
+const keyed = { ...base, key: shape.text };
+const isHeld = shape.maybe(shape.has({ until: shape.num, ops: shape.list(shape.text) }));
+const value = { ballot: shape.ballot, held: isHeld, extended: shape.maybe(shape.num) };
+const isPair = (u: unknown): boolean => Array.isArray(u) && shape.text(u[0]) && shape.ballot(u[1]);
+export const isAsk = {
+  prepare: shape.has({ ...keyed, ballot: shape.ballot, has: shape.maybe(shape.ballot) }),
+  accept: shape.has({ ...keyed, ...value, next: shape.maybe(shape.ballot) }),
+  read: shape.either(shape.has(keyed), shape.has({ ...base, keys: shape.list(shape.text) })),
+  mend: shape.has({ ...keyed, ...value }),
+  extend: shape.has({ ...base, keys: shape.list(shape.text), until: shape.num }),
+  purge: shape.has({ ...keyed, ballot: shape.ballot, wall: shape.num }),
+  drop: shape.has({ ...base, keys: shape.list(isPair), wall: shape.num }),
+  due: shape.has({ ...base, limit: shape.whole }),
+  digest: shape.has(base),
+  list: shape.has({ ...base, after: shape.text, limit: shape.whole }),
+};
--- a/packages/keeper/src/registers.ts
+++ b/packages/keeper/src/registers.ts
@@ -1,232 +1,260 @@
 // The proposer's side of registers (§6.2): one ballot for each change, decided by a majority of the group.
 // There is no leader, so losing a keeper leaves no gap.
-import { LRUMapWithDelete } from 'mnemonist';
-import { fault, lock, time, us, type Lens, type Us } from '@thornsail/lens';
+import { lock, us, type Lens, type Us } from '@thornsail/lens';
 import type { Pipe } from '@thornsail/pipe';
+import type { Known, Walls } from './known.js';
+import { majority, members } from './members.js';
 import {
   ballot,
-  type AcceptAsk,
+  keptUntil,
+  type AcceptReply,
   type Ballot,
-  type Copy,
+  type ExtendReply,
   type Group,
   type Held,
-  type Keep,
-  type Reply,
-} from './store.js';
+} from './messages.js';
+import type { PrepareReply } from './messages.js';
+import { agreed, askCopies, attempts, proposer, type Agreed, type Counts } from './proposer.js';
+import { fetchValues, hangsOnExtension, mend, reader } from './read.js';
 
-/** The wall as the keepers see it: a moved clock on one of them must not age a value (§6.4). */
-export type Walls = { min: Us; max: Us };
+export type { Walls } from './known.js';
+export { majority } from './members.js';
 export type Write<R> = { held: Omit<Held, 'ops'> | null; result: R } | { keep: true; result: R };
 /** Sees the agreed value, the keepers' walls and until when the value was to be kept (0 if there is none). */
 type Fn<R> = (value: unknown, walls: Walls, until: Us) => Write<R>;
 export type Registers = {
   /** Reads the agreed value; throws with code 'no-majority' rather than say it is missing. */
   read: (key: string, timeLeft?: Us) => Promise<unknown>;
+  /** As `read` for several keys, in their order, with one frame to each keeper. */
+  readMany: (keys: string[], timeLeft?: Us) => Promise<unknown[]>;
   /**
    * Compare-and-set by function: `fn` sees the agreed value and gives the next. It may be called more than once,
    * but takes effect once: a round whose accepts went to a minority is recognised if its value lives on.
    */
   change: <R>(key: string, fn: Fn<R>, timeLeft?: Us) => Promise<R>;
+  /** Runs the prepare round ahead of time: the next `change` of this key here takes one round, if no other comes. */
+  reserve: (key: string, timeLeft?: Us) => Promise<void>;
+  /**
+   * Keeps values until this wall time at least, on a majority and without ballots; values that last longer stay as
+   * they are. Gives the keys that have no value. Throws with code 'no-majority' if it is not known for all.
+   */
+  extend: (keys: string[], until: Us, timeLeft?: Us) => Promise<string[]>;
   /** Brings one key onto a majority of the present group under its mark (§6.5). */
   settleKey: (key: string, timeLeft?: Us) => Promise<void>;
   reachable: (timeLeft?: Us) => Promise<boolean>;
-  counts: () => { rounds: number; quick: number; conflicts: number; mended: number; reads: number; done: number };
+  counts: () => Counts;
 };
 
-type Known = { mark: number; next: Ballot; held: Held | null; walls: Walls; at: Us };
 /** How many changes a value remembers: more than can be in flight for one key at once. */
 const opsKept = 12;
-export const majority = (n: number): number => Math.floor(n / 2) + 1;
-const absent = (h: Held | null, w: Walls): boolean => h === null || h.until <= w.min;
+const askWithin = us.ms(400);
+const untilAll = (h: Held | null, extended: Us): Us => keptUntil(h?.until ?? 0, extended);
 
 export const registers = {
-  open: (o: { lens: Lens; pipe: Pipe; by: string; group: () => Group | undefined }): Registers => {
-    const { lens, pipe, by } = o;
-    const { clock } = lens;
-    const c = { rounds: 0, quick: 0, conflicts: 0, mended: 0, reads: 0, done: 0 };
-    let ahead: Group | undefined;
-    const group = (): Group => {
-      const g = o.group();
-      const best = ahead && (!g || ahead.mark > g.mark) ? ahead : g;
-      if (!best) throw fault.make({ step: 'register', code: 'no-majority' }, 'no keeper group is known');
-      return best;
-    };
-    const cache = new LRUMapWithDelete<string, Known>(4096);
+  /** `near` ranks keepers by id, the lower the nearer: values are read from the nearest. */
+  open: (o: {
+    lens: Lens;
+    pipe: Pipe;
+    by: string;
+    group: () => Group | undefined;
+    near?: (keeperId: string) => number;
+  }): Registers => {
+    const x = proposer({ ...o, members: members.open(o) });
+    const { cache, c, me } = x;
+    const { clock } = o.lens;
     const short = lock.keyed();
     let opNo = 0;
 
-    type Got = { from: Keep; reply: Reply };
-    /** Asks every member; resolves when a majority said ok, or none can be had any more. */
-    const askAll = (
-      g: Group,
-      kind: string,
-      key: string,
-      rest: object,
-      left: Us,
-    ): Promise<{ ok: { from: Keep; copy: Copy; wall: Us }[]; no: Reply[]; late: Promise<Got[]> }> =>
-      new Promise((done) => {
-        const ok: { from: Keep; copy: Copy; wall: Us }[] = [];
-        const no: Reply[] = [];
-        const need = majority(g.members.length);
-        let open = g.members.length;
-        let said = false;
-        const all: Promise<Got | undefined>[] = [];
-        const check = (): void => {
-          if (said || !(ok.length >= need || ok.length + open < need)) return;
-          said = true;
-          done({
-            ok: [...ok],
-            no: [...no],
-            late: Promise.all(all).then((x) => x.filter((y): y is Got => y !== undefined)),
-          });
-        };
-        for (const k of g.members) {
-          all.push(
-            pipe.ask<Reply>(k.at, kind, { to: k.id, group: g, key, ...rest }, left).then(
-              (reply) => {
-                open -= 1;
-                if (reply.ok) ok.push({ from: k, copy: reply.copy, wall: reply.wall });
-                else no.push(reply);
-                check();
-                return { from: k, reply };
-              },
-              () => {
-                open -= 1;
-                check();
-                return undefined;
-              },
-            ),
-          );
-        }
-      });
-    const walls = (a: { wall: Us }[]): Walls => ({
-      min: Math.min(...a.map((x) => x.wall)),
-      max: Math.max(...a.map((x) => x.wall)),
-    });
-    const learn = (no: Reply[]): Ballot => {
-      let top = ballot.zero;
-      for (const r of no)
-        if (!r.ok) {
-          if (r.why === 'group' && (!ahead || r.group.mark > ahead.mark)) ahead = r.group;
-          if (r.why === 'ballot') top = ballot.max(top, r.promised);
-        }
-      return top;
+    type Prepared = { mine: Ballot; held: Held | null; extended: Us; walls: Walls; a?: Agreed };
+    /** Ballots have to be above what was in the way before. */
+    type Top = { ballot: Ballot };
+    const lost = (top: Top, no: Parameters<typeof x.members.learn>[0], mine: Ballot): undefined => {
+      top.ballot = ballot.max(top.ballot, ballot.max(x.members.learn(no), mine));
+      c.conflicts += 1;
+      return undefined;
     };
-    const mend = (g: Group, key: string, late: Promise<Got[]>, accepted: Ballot, held: Held | null): void => {
-      void late.then((all) => {
-        for (const { from, reply } of all)
-          if (reply.ok && ballot.cmp(reply.copy.accepted, accepted) < 0) {
-            c.mended += 1;
-            pipe
-              .ask(from.at, 'reg.mend', { to: from.id, group: g, key, ballot: accepted, held })
-              .catch(() => undefined);
-          }
-      });
+    const prepare = async (g: Group, key: string, top: Top, left: Us): Promise<Prepared | undefined> => {
+      c.rounds += 1;
+      const mine: Ballot = [Math.max(top.ballot[0], x.members.floor()) + 1, me];
+      const known = cache.get(key);
+      const nearest = x.members.near(g, key)[0];
+      const full = { key, ballot: mine, lean: true, ...(known?.held ? { has: known.accepted } : {}) };
+      const bare = { ...full, bare: true };
+      const asked = x.members.ask<PrepareReply>(g, 'reg.prepare', (k) => (k === nearest ? full : bare), left);
+      const withKnown = (a: Agreed): Agreed =>
+        a.held === undefined && known && ballot.same(known.accepted, a.accepted) ? { ...a, held: known.held } : a;
+      const r = await x.members.gather(
+        asked,
+        (ok, failed) =>
+          failed.includes(nearest!) ||
+          ok.some((y) => y.from === nearest) ||
+          withKnown(agreed(ok, (y) => y.reply.copy)).held !== undefined,
+      );
+      if (r.ok.length < majority(g.members.length)) return lost(top, r.no, mine);
+      const a = withKnown(agreed(r.ok, (y) => y.reply.copy));
+      if (a.held === undefined) {
+        const from = r.ok.filter((y) => ballot.same(y.reply.copy.accepted, a.accepted)).map((y) => y.from);
+        await fetchValues(x, g, [{ key, a, from }], left);
+      }
+      if (a.held === undefined) return lost(top, [], mine);
+      const copies = r.late.then((l) => l.map((y) => ({ from: y.from, accepted: y.reply.copy.accepted })));
+      if (a.same >= majority(g.members.length)) mend(x, g, key, a, copies);
+      return { mine, held: a.held, extended: a.extended, walls: a.walls, a };
+    };
+    /** What was promised to this proposer before: no prepare is needed. */
+    const promised = (k: Known | undefined, g: Group): Prepared | undefined => {
+      if (!k?.next || k.mark !== g.mark) return undefined;
+      const walls = { min: k.walls.min + clock.now() - k.at, max: k.walls.max + clock.now() - k.at };
+      // One that seems to have ended may have been extended by another.
+      const until = untilAll(k.held, k.extended);
+      if (until > 0 && until <= walls.min) return undefined;
+      return { mine: k.next, held: k.held, extended: k.extended, walls };
     };
+    /** Keeps what is known of the value, but not the promise. */
+    const unpromise = (key: string): void => {
+      const k = cache.get(key);
+      if (!k?.next) return;
+      const { next: _, ...rest } = k;
+      cache.set(key, rest);
+    };
+    const know = (g: Group, key: string, p: Prepared, accepted: Ballot, next: Ballot): void =>
+      cache.set(key, {
+        mark: g.mark,
+        accepted,
+        held: p.held,
+        extended: p.extended,
+        next,
+        walls: p.walls,
+        at: clock.now(),
+      });
 
+    const accept = async (
+      g: Group,
+      key: string,
+      p: Prepared,
+      put: Held | null,
+      top: Top,
+      end: Us,
+    ): Promise<boolean> => {
+      const next: Ballot = [p.mine[0] + 1, me];
+      const extended = p.extended > 0 ? { extended: p.extended } : {};
+      const body = { key, ballot: p.mine, held: put, next, ...extended, lean: true };
+      const left = Math.min(end - clock.now() + us.ms(1), askWithin);
+      const r = await x.members.gather(x.members.ask<AcceptReply>(g, 'reg.accept', () => body, left));
+      if (r.ok.length < majority(g.members.length)) {
+        unpromise(key);
+        lost(top, r.no, p.mine);
+        return false;
+      }
+      const walls = r.ok.map((y) => y.reply.wall);
+      const at = { ...p, held: put, walls: { min: Math.min(...walls), max: Math.max(...walls) } };
+      know(g, key, at, p.mine, next);
+      c.done += 1;
+      return true;
+    };
     const change = <R>(key: string, fn: Fn<R>, timeLeft: Us = us.s(2), force = false): Promise<R> =>
       short(key, async () => {
         const end = clock.now() + timeLeft;
-        let top: Ballot = ballot.zero;
+        const top: Top = { ballot: ballot.zero };
         const tried = new Map<string, R>();
-        for (let round = 0; ; round++) {
-          const left = end - clock.now();
-          if (left <= 0)
-            throw fault.make({ step: 'register.change', code: 'no-majority' }, `${key}: no majority in time`);
-          const askLeft = Math.min(left, us.ms(400));
-          let g: Group;
-          try {
-            g = group();
-          } catch (e) {
-            if (left < us.ms(50)) throw e;
-            await time.sleep(clock, us.ms(50));
-            continue;
-          }
-          const known = cache.get(key);
-          let mine: Ballot;
-          let held: Held | null;
-          let w: Walls;
-          if (known && known.mark === g.mark && round === 0 && !force) {
-            // This proposer's last accept also promised its next ballot: no prepare is needed.
-            mine = known.next;
-            held = known.held;
-            w = { min: known.walls.min + clock.now() - known.at, max: known.walls.max + clock.now() - known.at };
-            c.quick += 1;
-          } else {
-            c.rounds += 1;
-            mine = [top[0] + 1, by];
-            const p = await askAll(g, 'reg.prepare', key, { ballot: mine }, askLeft);
-            if (p.ok.length < majority(g.members.length)) {
-              top = ballot.max(top, ballot.max(learn(p.no), mine));
-              c.conflicts += 1;
-              await time.sleep(clock, us.ms(2 + lens.rand.int(Math.min(60, 6 * (round + 1)))));
-              continue;
-            }
-            const best = p.ok.reduce((a, b) => (ballot.cmp(a.copy.accepted, b.copy.accepted) >= 0 ? a : b));
-            held = best.copy.held;
-            w = walls(p.ok);
-          }
-          const lived = held?.ops.find((x) => tried.has(x));
+        return attempts<R>(x, { step: 'register.change', what: key, end }, async (g, round, left) => {
+          const quick = round === 0 && !force ? promised(cache.get(key), g) : undefined;
+          if (quick) c.quick += 1;
+          const p = quick ?? (await prepare(g, key, top, left));
+          if (!p) return undefined;
+          const { held } = p;
+          const until = untilAll(held, p.extended);
+          const lived = held?.ops.find((op) => tried.has(op));
           const r: Write<R> =
             lived !== undefined
               ? { keep: true, result: tried.get(lived)! }
-              : absent(held, w)
-                ? fn(undefined, w, 0)
-                : fn(held!.value, w, held!.until);
-          const op = `${by}.${++opNo}`;
-          // An absent value leaves its tail of changes behind: they can still be asked for.
-          const put: Held | null =
-            'keep' in r
-              ? held
-              : r.held === null
-                ? { value: null, until: 0, ops: [...(held?.ops ?? []), op].slice(-opsKept) }
-                : { ...r.held, ops: [...(held?.ops ?? []), op].slice(-opsKept) };
-          if (!('keep' in r)) tried.set(op, r.result);
-          if ('keep' in r && known && known.mark === g.mark && round === 0 && !force) {
+              : held === null || until <= p.walls.min
+                ? fn(undefined, p.walls, 0)
+                : fn(held.value, p.walls, until);
+          if ('keep' in r && quick) {
             // Nothing is written, so what this proposer remembers has to be confirmed first.
-            cache.delete(key);
-            continue;
+            unpromise(key);
+            return 'again';
           }
-          const next: Ballot = [mine[0] + 1, by];
-          const ask: Omit<AcceptAsk, 'to' | 'group' | 'key'> = { ballot: mine, held: put, next };
-          const a = await askAll(g, 'reg.accept', key, ask, Math.min(end - clock.now() + us.ms(1), us.ms(400)));
-          if (a.ok.length >= majority(g.members.length)) {
-            cache.set(key, { mark: g.mark, next, held: put, walls: walls(a.ok), at: clock.now() });
-            mend(g, key, a.late, mine, put);
-            c.done += 1;
-            return r.result;
+          if ('keep' in r && !force && p.a!.same >= majority(g.members.length) && !hangsOnExtension(p.a!)) {
+            // A majority has it already.
+            know(g, key, p, p.a!.accepted, p.mine);
+            return { result: r.result };
           }
-          cache.delete(key);
-          c.conflicts += 1;
-          top = ballot.max(top, ballot.max(learn(a.no), mine));
-          await time.sleep(clock, us.ms(2 + lens.rand.int(Math.min(60, 6 * (round + 1)))));
-        }
+          const op = `${me}.${(++opNo).toString(36)}`;
+          const ops = [...(held?.ops ?? []), op].slice(-opsKept);
+          // An absent value leaves its tail of changes behind: they can still be asked for.
+          const put: Held | null =
+            'keep' in r ? held : r.held === null ? { value: null, until: 0, ops } : { ...r.held, ops };
+          if (!('keep' in r)) tried.set(op, r.result);
+          return (await accept(g, key, p, put, top, end)) ? { result: r.result } : undefined;
+        });
+      });
+    const settle = (key: string, timeLeft?: Us): Promise<unknown> =>
+      change<unknown>(key, (value) => ({ keep: true, result: value }), timeLeft, true);
+    const readMany = reader(x, settle);
+    const reserve = (key: string, timeLeft: Us = us.s(2)): Promise<void> =>
+      short(key, () => {
+        const top: Top = { ballot: ballot.zero };
+        const end = clock.now() + timeLeft;
+        return attempts<void>(x, { step: 'register.reserve', what: key, end }, async (g, _round, left) => {
+          if (promised(cache.get(key), g)) return { result: undefined };
+          const p = await prepare(g, key, top, left);
+          if (!p) return undefined;
+          know(g, key, p, p.a!.accepted, p.mine);
+          c.reserved += 1;
+          return { result: undefined };
+        });
       });
 
+    /** By a ballot, for a key of which too few keepers have a value; true if there is none. */
+    const extendByBallot = (key: string, until: Us, left: Us): Promise<boolean> =>
+      change<boolean>(
+        key,
+        // Written even if one keeper has it extended already: it has to be on a majority.
+        (v, _walls, was) =>
+          v === undefined
+            ? { keep: true, result: true }
+            : { held: { value: v, until: Math.max(was, until) }, result: false },
+        left,
+      );
+    const extend = async (keys: string[], until: Us, timeLeft: Us = us.s(2)): Promise<string[]> => {
+      const end = clock.now() + timeLeft;
+      const g = x.members.group();
+      const need = majority(g.members.length);
+      const body = { keys, until };
+      const asked = x.members.ask<ExtendReply>(g, 'reg.extend', () => body, Math.min(timeLeft, askWithin));
+      const found = (ok: { reply: ExtendReply }[], i: number): number => ok.filter((y) => y.reply.found[i]).length;
+      const clear = (n: number): boolean => n >= need || n === 0;
+      const r = await x.members.gather(asked, (ok) => keys.every((_, i) => clear(found(ok, i))));
+      x.members.learn(r.no);
+      const told = r.ok.length >= need;
+      const missing = await Promise.all(
+        keys.map(async (key, i) => {
+          const n = found(r.ok, i);
+          if (told && n >= need) {
+            const k = cache.get(key);
+            if (k?.held) k.extended = Math.max(k.extended, until);
+            c.extended += 1;
+            return false;
+          }
+          return (told && n === 0) || extendByBallot(key, until, end - clock.now());
+        }),
+      );
+      return keys.filter((_, i) => missing[i]);
+    };
     return {
       change: (key, fn, timeLeft) => change(key, fn, timeLeft),
-      settleKey: (key, timeLeft) => change(key, () => ({ keep: true, result: undefined }), timeLeft, true),
-      read: async (key, timeLeft = us.s(2)) => {
-        c.reads += 1;
-        const end = clock.now() + timeLeft;
-        const g = group();
-        const r = await askAll(g, 'reg.read', key, {}, Math.min(timeLeft, us.ms(400)));
-        learn(r.no);
-        if (r.ok.length >= majority(g.members.length)) {
-          const best = r.ok.reduce((a, b) => (ballot.cmp(a.copy.accepted, b.copy.accepted) >= 0 ? a : b));
-          if (r.ok.every((x) => ballot.cmp(x.copy.accepted, best.copy.accepted) === 0)) {
-            mend(g, key, r.late, best.copy.accepted, best.copy.held);
-            const w = walls(r.ok);
-            return absent(best.copy.held, w) ? undefined : best.copy.held!.value;
-          }
-        }
-        return change(key, (value) => ({ keep: true, result: value }), end - clock.now(), true);
-      },
+      reserve,
+      extend,
+      settleKey: async (key, timeLeft) => void (await settle(key, timeLeft)),
+      read: async (key, timeLeft = us.s(2)) => (await readMany([key], timeLeft))[0],
+      readMany: (keys, timeLeft = us.s(2)) => readMany(keys, timeLeft),
       reachable: async (timeLeft = us.ms(400)) => {
         try {
-          const g = group();
-          const r = await askAll(g, 'reg.read', 'reachable', {}, timeLeft);
-          learn(r.no);
+          const g = x.members.group();
+          const r = await x.members.gather(askCopies(x, g, ['reachable'], timeLeft, { bare: () => true }));
+          x.members.learn(r.no);
           return r.ok.length >= majority(g.members.length);
         } catch {
           return false;
--- a/packages/keeper/src/shelf.ts
+++ b/packages/keeper/src/shelf.ts
@@ -1,8 +1,8 @@
 // What a keeper holds, by ranges of keys (§6.3): digests that are kept up with each change, and lists that look at one
-// range at a time, so that nothing walks through a whole day's registers in one go.
-import { hash, type Us } from '@thornsail/lens';
+// range, or at what ends at one time, so that nothing walks through a whole day's registers in one go.
+import { hash, us, type Us } from '@thornsail/lens';
 import type { Index, Slot } from '@thornsail/logbook';
-import type { Copy } from './store.js';
+import type { Ballot, Copy } from './messages.js';
 
 /** Keys fall into ranges by their hash; the sweep compares a digest of each before it lists any (§6.5). */
 export const ranges = 64;
@@ -11,8 +11,8 @@
 export type Shelf = Index<Copy> & {
   size: () => number;
   digest: (range: number) => number;
-  /** Whether a range holds something that nothing has needed since `before`. */
-  due: (range: number, before: Us) => boolean;
+  /** Up to `limit` keys, with their ballots, that nothing has needed since `before`; what ended first comes first. */
+  due: (before: Us, limit: number) => [string, Ballot][];
   /** The keys of a range after one, in order; one more than `limit` says that there are more. */
   keys: (range: number, after: string, limit: number) => string[];
   /** The most copies that one call has looked at. */
@@ -20,22 +20,50 @@
 };
 
 /** Until when a copy may be needed (§6.4). */
-export const neededUntil = (c: Copy): Us => Math.max(c.touched, c.held?.until ?? 0);
+export const neededUntil = (c: Copy): Us => Math.max(c.touched, c.held?.until ?? 0, c.extended ?? 0);
 /** Two hashes, packed into 52 bits: after a change of group an equal digest is trusted (§6.5). */
 const mix = (key: string, c: Copy): [number, number] => {
-  const text = `${key} ${c.accepted.join(' ')}`;
+  const text = `${key} ${c.accepted.join(' ')}${c.extended ? ` ${c.extended}` : ''}`;
   return [hash.of(text), hash.of(`2 ${text}`)];
 };
 type Digest = [number, number];
 const add = (d: Digest, m: Digest, sign: 1 | -1): Digest => [(d[0] + sign * m[0]) >>> 0, (d[1] + sign * m[1]) >>> 0];
 
+/** Keys by the time at which they end, so many microseconds together. */
+const together = us.s(16);
+const endings = (): {
+  add: (key: string, at: Us) => void;
+  drop: (key: string, at: Us) => void;
+  clear: () => void;
+  before: (at: Us) => Set<string>[];
+} => {
+  const all = new Map<number, Set<string>>();
+  const of = (at: Us): number => Math.floor(at / together);
+  return {
+    add: (key, at) => {
+      const set = all.get(of(at));
+      if (set) set.add(key);
+      else all.set(of(at), new Set([key]));
+    },
+    drop: (key, at) => {
+      const set = all.get(of(at));
+      if (set?.delete(key) && set.size === 0) all.delete(of(at));
+    },
+    clear: () => all.clear(),
+    before: (at) => {
+      const some = [...all.keys()].filter((n) => n * together < at).sort((a, b) => a - b);
+      return some.map((n) => all.get(n)!);
+    },
+  };
+};
+
 export const shelf = {
   open: (): Shelf => {
     const all = Array.from({ length: ranges }, () => ({
       at: new Map<string, Slot<Copy>>(),
       digest: [0, 0] as Digest,
-      earliest: Infinity,
     }));
+    const ends = endings();
     let longest = 0;
     const of = (key: string): (typeof all)[number] => all[rangeOf(key)]!;
     const drop = (key: string): void => {
@@ -43,34 +71,47 @@
       const was = r.at.get(key);
       if (!was) return;
       r.digest = add(r.digest, mix(key, was.value), -1);
+      ends.drop(key, neededUntil(was.value));
       r.at.delete(key);
     };
     return {
       get: (key) => of(key).at.get(key),
       set: (key, slot) => {
-        drop(key);
         const r = of(key);
+        const was = r.at.get(key);
+        if (was) {
+          r.digest = add(r.digest, mix(key, was.value), -1);
+          ends.drop(key, neededUntil(was.value));
+        }
         r.at.set(key, slot);
         r.digest = add(r.digest, mix(key, slot.value), 1);
-        r.earliest = Math.min(r.earliest, neededUntil(slot.value));
+        ends.add(key, neededUntil(slot.value));
       },
       drop,
       clear: () => {
         for (const r of all) {
           r.at.clear();
           r.digest = [0, 0];
-          r.earliest = Infinity;
         }
+        ends.clear();
       },
       size: () => all.reduce((a, r) => a + r.at.size, 0),
       digest: (range) => all[range]!.digest[0] * 2 ** 20 + (all[range]!.digest[1] & 0xfffff),
-      due: (range, before) => {
-        const r = all[range]!;
-        if (r.earliest >= before) return false;
-        // The earliest known may be long replaced: looked at again, at most once for each change of it.
-        longest = Math.max(longest, r.at.size);
-        r.earliest = [...r.at.values()].reduce((a, s) => Math.min(a, neededUntil(s.value)), Infinity);
-        return r.earliest < before;
+      due: (before, limit) => {
+        const some: [string, Ballot][] = [];
+        let looked = 0;
+        for (const set of ends.before(before))
+          for (const key of set) {
+            const { value } = of(key).at.get(key)!;
+            looked += 1;
+            if (neededUntil(value) < before) some.push([key, value.accepted]);
+            if (some.length >= limit) {
+              longest = Math.max(longest, looked);
+              return some;
+            }
+          }
+        longest = Math.max(longest, looked);
+        return some;
       },
       keys: (range, after, limit) => {
         const r = all[range]!;
--- a/packages/keeper/src/store.ts
+++ b/packages/keeper/src/store.ts
@@ -1,35 +1,33 @@
 // The keeper's side of registers (§6.2): promises and accepted values, each synced before its reply.
-import { invariant, lock, place, time, us, type Lens, type Place, type Us } from '@thornsail/lens';
-import { batches, logbook, type Limits, type Logbook } from '@thornsail/logbook';
-import { neededUntil, ranges, shelf } from './shelf.js';
-import { shape, type Pipe } from '@thornsail/pipe';
-
-export type Ballot = [n: number, by: string];
-export const ballot = {
-  zero: [0, ''] as Ballot,
-  cmp: (a: Ballot, b: Ballot): number => a[0] - b[0] || (a[1] < b[1] ? -1 : a[1] > b[1] ? 1 : 0),
-  max: (a: Ballot, b: Ballot): Ballot => (ballot.cmp(a, b) >= 0 ? a : b),
-};
-/** A value; `until` is wall time, after which it counts as absent (§6.4); `ops` names its last changes (§6.2). */
-export type Held = { value: unknown; until: Us; ops: string[] };
-export type Copy = { promised: Ballot; accepted: Ballot; held: Held | null; touched: Us };
-export type Keep = { id: string; at: Place };
-export type Group = { mark: number; members: Keep[] };
-
-type Base = { to: string; group: Group; key: string };
-export type PrepareAsk = Base & { ballot: Ballot };
-export type AcceptAsk = Base & { ballot: Ballot; held: Held | null; next: Ballot | null };
-export type Reply =
-  | { ok: true; copy: Copy; wall: Us }
-  | { ok: false; why: 'ballot'; promised: Ballot }
-  | { ok: false; why: 'group'; group: Group }
-  | { ok: false; why: 'identity' };
-export type ListResult =
-  | { ok: true; keys: { key: string; accepted: Ballot; until: Us; touched: Us }[]; next: string | null; wall: Us }
-  | { ok: false; group: Group | null };
-
-export type DigestResult =
-  { ok: true; digests: number[]; due: boolean[]; wall: Us } | { ok: false; group: Group | null };
+import { fault, invariant, lock, time, us, type Lens, type Us } from '@thornsail/lens';
+import { batches, logbook, type Index, type Limits, type Logbook, type Slot } from '@thornsail/logbook';
+import type { Pipe } from '@thornsail/pipe';
+import {
+  ballot,
+  isAsk,
+  keptUntil,
+  type AcceptAsk,
+  type AcceptReply,
+  type Ballot,
+  type Base,
+  type Copy,
+  type DigestResult,
+  type DropAsk,
+  type DueResult,
+  type ExtendAsk,
+  type ExtendReply,
+  type Group,
+  type ListResult,
+  type MendAsk,
+  type PrepareAsk,
+  type PrepareReply,
+  type ReadAsk,
+  type ReadReply,
+  type Refusal,
+  type Reply,
+  type Seen,
+} from './messages.js';
+import { neededUntil, ranges, shelf, type Shelf } from './shelf.js';
 
 export type Store = {
   id: string;
@@ -41,6 +39,7 @@
     accepts: number;
     rejected: number;
     mended: number;
+    extended: number;
     purged: number;
     longest: number;
     batches: number;
@@ -51,18 +50,43 @@
   };
 };
 
-/** What a keeper waits beyond `until` before it may drop a copy: longer than any message or freeze lives (§6.4). */
+/** What a keeper waits beyond `until` before it may drop a copy, unless it is told otherwise (§6.4). */
 export const grace = us.s(600);
-
-const isGroup = shape.has({
-  mark: shape.whole,
-  members: shape.list(shape.has({ id: shape.text, at: place.ok })),
-});
-const base = { to: shape.text, group: isGroup, key: shape.text };
-const isHeld = shape.maybe(shape.has({ until: shape.num, ops: shape.list(shape.text) }));
+const leastGrace = us.s(10);
 
 /** Registers were documents of such names before they were kept in batches. */
 const former = 'reg:';
+/** The record of the floor; no register has this key. */
+const floorKey = '';
+const none: Copy = { promised: ballot.zero, accepted: ballot.zero, held: null, touched: 0 };
+const markOf = (m: Base): number => (typeof m.group === 'number' ? m.group : m.group.mark);
+
+/** The shelf, and beside it the floor: the highest ballot of any copy that was dropped. */
+const withFloor = (copies: Shelf): { index: Index<Copy>; floor: () => number } => {
+  let slot: Slot<Copy> | undefined;
+  return {
+    floor: () => slot?.value.promised[0] ?? 0,
+    index: {
+      get: (key) => (key === floorKey ? slot : copies.get(key)),
+      set: (key, s) => (key === floorKey ? void (slot = s) : copies.set(key, s)),
+      drop: (key) => (key === floorKey ? void (slot = undefined) : copies.drop(key)),
+      clear: () => {
+        slot = undefined;
+        copies.clear();
+      },
+    },
+  };
+};
+/** A copy as the asker wants it: its value only if it may not know it. */
+const seen = (c: Copy, o: { has?: Ballot; bare?: boolean }): Seen => {
+  const known = o.bare || (o.has && ballot.same(o.has, c.accepted));
+  return {
+    accepted: c.accepted,
+    ...(c.held ? { until: c.held.until } : {}),
+    ...(c.extended ? { extended: c.extended } : {}),
+    ...(known && c.held ? {} : { held: c.held }),
+  };
+};
 
 export const store = {
   open: async (o: {
@@ -72,12 +96,18 @@
     freshId?: string;
     /** How many files, and how large (§6.1). */
     limits?: Partial<Limits>;
+    /** How long a copy stays after its end of keeping, 10 s at least (§6.4). */
+    grace?: Us;
   }): Promise<Store> => {
     const { lens, pipe, book } = o;
+    const wait = o.grace ?? grace;
+    if (!(Number.isSafeInteger(wait) && wait >= leastGrace))
+      throw fault.make({ step: 'store.open', code: 'grace' }, `grace is ${wait} us, it is ${leastGrace} us at least`);
     const log = lens.log('keeper');
-    const c = { prepares: 0, accepts: 0, rejected: 0, mended: 0, purged: 0 };
+    const c = { prepares: 0, accepts: 0, rejected: 0, mended: 0, extended: 0, purged: 0 };
     const copies = shelf.open();
-    const records = batches.open<Copy>({ book, index: copies, prefix: former, limits: o.limits ?? {} });
+    const { index, floor } = withFloor(copies);
+    const records = batches.open<Copy>({ book, index, prefix: former, limits: o.limits ?? {} });
     // What does not read back, and was acknowledged, shows that the disk is damaged (§6.1).
     const sound = await logbook.sound(
       book,
@@ -106,81 +136,122 @@
         group = g;
         log(`group mark is ${g.mark}.`);
       });
-    const guard = async (m: Base): Promise<Reply | undefined> => {
+    /** Whether the group has this keeper at the place where it was asked: a bare mark names no keeper. */
+    const here = (): boolean => group!.members.some((k) => k.id === id && k.at === pipe.at);
+    const guard = async (m: Base): Promise<Refusal | undefined> => {
+      if (typeof m.group === 'number') {
+        if (!group || m.group > group.mark) return { ok: false, why: 'unknown' };
+        if (group.mark > markOf(m)) return { ok: false, why: 'group', group };
+        return here() ? undefined : { ok: false, why: 'unknown' };
+      }
       if (m.to !== id) return { ok: false, why: 'identity' };
       if (!group || m.group.mark > group.mark) await learn(m.group);
-      if (group!.mark > m.group.mark) return { ok: false, why: 'group', group: group! };
+      if (group!.mark > markOf(m)) return { ok: false, why: 'group', group: group! };
       if (!group!.members.some((k) => k.id === id)) return { ok: false, why: 'identity' };
       return undefined;
     };
-    const none: Copy = { promised: ballot.zero, accepted: ballot.zero, held: null, touched: 0 };
-    const reject = (promised: Ballot): Reply => {
+    /** What every reply says. The group may have moved on while the disk was busy. */
+    const reply = <T>(m: Base, body: T): Reply<T> => {
+      if (group!.mark > markOf(m)) return { ok: false, why: 'group', group: group! };
+      return {
+        ok: true,
+        wall: lens.clock.wall(),
+        ...(typeof m.group === 'number' || !here() ? {} : { lean: true }),
+        ...(floor() > 0 ? { floor: floor() } : {}),
+        ...body,
+      };
+    };
+    const reject = (promised: Ballot): Refusal => {
       c.rejected += 1;
       return { ok: false, why: 'ballot', promised };
     };
+    const copyOf = (key: string): Copy => copies.get(key)?.value ?? none;
+    /** What a copy has promised. Of one that was dropped only this is known: no ballot of it was above the floor. */
+    const promisedOf = (key: string): Ballot =>
+      copies.get(key)?.value.promised ?? (floor() > 0 ? [floor(), '~'] : ballot.zero);
+    /** An extension stays as long as the copy: what says more may be of a ballot that comes to nothing. */
+    const extendedOf = (cur: Copy, m: { extended?: Us }): { extended?: Us } => {
+      const extended = Math.max(cur.extended ?? 0, m.extended ?? 0);
+      return extended > 0 ? { extended } : {};
+    };
 
-    pipe.on<PrepareAsk>('reg.prepare', shape.has({ ...base, ballot: shape.ballot }), (m) =>
-      short(m.key, async (): Promise<Reply> => {
+    pipe.on<PrepareAsk>('reg.prepare', isAsk.prepare, (m) =>
+      short(m.key, async (): Promise<Reply<PrepareReply>> => {
         const no = await guard(m);
         if (no) return no;
-        const cur = copies.get(m.key)?.value ?? none;
-        if (ballot.cmp(m.ballot, cur.promised) <= 0) return reject(cur.promised);
-        const next = { ...cur, promised: m.ballot, touched: lens.clock.wall() };
+        const promised = promisedOf(m.key);
+        if (ballot.cmp(m.ballot, promised) <= 0) return reject(promised);
+        const next: Copy = { ...copyOf(m.key), promised: m.ballot, touched: lens.clock.wall() };
         await records.write(m.key, next);
-        // The group may have moved on while the disk was busy.
-        if (group!.mark > m.group.mark) return { ok: false, why: 'group', group: group! };
         c.prepares += 1;
-        return { ok: true, copy: next, wall: lens.clock.wall() };
+        // An asker of the release before takes the whole copy.
+        return reply(m, { copy: m.lean ? seen(next, m) : next });
       }),
     );
-    pipe.on<AcceptAsk>(
-      'reg.accept',
-      shape.has({ ...base, ballot: shape.ballot, held: isHeld, next: shape.maybe(shape.ballot) }),
-      (m) =>
-        short(m.key, async (): Promise<Reply> => {
-          const no = await guard(m);
-          if (no) return no;
-          const cur = copies.get(m.key)?.value ?? none;
-          if (ballot.cmp(m.ballot, cur.promised) < 0) return reject(cur.promised);
-          invariant.hold(ballot.cmp(m.ballot, cur.accepted) >= 0, `register ${m.key} accepted a lower ballot`);
-          const next: Copy = {
-            promised: m.next ? ballot.max(m.next, m.ballot) : m.ballot,
-            accepted: m.ballot,
-            held: m.held,
-            touched: lens.clock.wall(),
-          };
-          await records.write(m.key, next);
-          if (group!.mark > m.group.mark) return { ok: false, why: 'group', group: group! };
-          c.accepts += 1;
-          return { ok: true, copy: next, wall: lens.clock.wall() };
-        }),
+    pipe.on<AcceptAsk>('reg.accept', isAsk.accept, (m) =>
+      short(m.key, async (): Promise<Reply<AcceptReply>> => {
+        const no = await guard(m);
+        if (no) return no;
+        const cur = copyOf(m.key);
+        const promised = promisedOf(m.key);
+        if (ballot.cmp(m.ballot, promised) < 0) return reject(promised);
+        invariant.hold(ballot.cmp(m.ballot, cur.accepted) >= 0, `register ${m.key} accepted a lower ballot`);
+        const next: Copy = {
+          promised: m.next ? ballot.max(m.next, m.ballot) : m.ballot,
+          accepted: m.ballot,
+          held: m.held,
+          touched: lens.clock.wall(),
+          ...extendedOf(cur, m),
+        };
+        await records.write(m.key, next);
+        c.accepts += 1;
+        return reply(m, m.lean ? {} : { copy: next });
+      }),
     );
-    pipe.on<Base>('reg.read', shape.has(base), async (m): Promise<Reply> => {
+    pipe.on<ReadAsk>('reg.read', isAsk.read, async (m): Promise<Reply<ReadReply>> => {
       const no = await guard(m);
       if (no) return no;
-      return { ok: true, copy: copies.get(m.key)?.value ?? none, wall: lens.clock.wall() };
+      if (m.keys) return reply(m, { copies: m.keys.map((key) => seen(copyOf(key), m)) });
+      return reply(m, { copy: copyOf(m.key!) });
     });
     /** A copy already agreed on by a majority, brought to a keeper that has an older one. */
-    pipe.on<Base & { ballot: Ballot; held: Held | null }>(
-      'reg.mend',
-      shape.has({ ...base, ballot: shape.ballot, held: isHeld }),
-      (m) =>
-        short(m.key, async (): Promise<Reply> => {
-          const no = await guard(m);
-          if (no) return no;
-          const cur = copies.get(m.key)?.value ?? none;
-          if (ballot.cmp(m.ballot, cur.accepted) <= 0) return { ok: true, copy: cur, wall: lens.clock.wall() };
-          const next: Copy = {
-            promised: ballot.max(cur.promised, m.ballot),
-            accepted: m.ballot,
-            held: m.held,
-            touched: lens.clock.wall(),
-          };
-          await records.write(m.key, next);
-          c.mended += 1;
-          return { ok: true, copy: next, wall: lens.clock.wall() };
-        }),
+    pipe.on<MendAsk>('reg.mend', isAsk.mend, (m) =>
+      short(m.key, async (): Promise<Reply<AcceptReply>> => {
+        const no = await guard(m);
+        if (no) return no;
+        const cur = copyOf(m.key);
+        if (ballot.cmp(m.ballot, cur.accepted) <= 0) return reply(m, { copy: cur });
+        if (!copies.get(m.key) && m.ballot[0] <= floor()) return reject(promisedOf(m.key));
+        const next: Copy = {
+          promised: ballot.max(cur.promised, m.ballot),
+          accepted: m.ballot,
+          held: m.held,
+          touched: lens.clock.wall(),
+          ...extendedOf(cur, m),
+        };
+        await records.write(m.key, next);
+        c.mended += 1;
+        return reply(m, { copy: next });
+      }),
     );
+    /** Raises the end of keeping of one value; false if there is none. */
+    const extendOne = (key: string, until: Us): Promise<boolean> =>
+      short(key, async () => {
+        const cur = copies.get(key)?.value;
+        // One that has ended counts as absent: it is not brought back.
+        if (!cur || keptUntil(cur.held?.until ?? 0, cur.extended ?? 0) <= lens.clock.wall()) return false;
+        if ((cur.extended ?? 0) >= until) return true;
+        await records.write(key, { ...cur, extended: until });
+        c.extended += 1;
+        return true;
+      });
+    pipe.on<ExtendAsk>('reg.extend', isAsk.extend, async (m): Promise<Reply<ExtendReply>> => {
+      const no = await guard(m);
+      if (no) return no;
+      const found = await Promise.all(m.keys.map((key) => extendOne(key, m.until)));
+      return reply(m, { found });
+    });
+
     /** The first keys after one over all ranges, a few ranges at a time: others get their turn in between. */
     const everywhere = async (after: string, limit: number): Promise<string[]> => {
       let first: string[] = [];
@@ -190,28 +261,18 @@
       }
       return first;
     };
-    /** A page of keys in order, for the sweep. Learning the group first is what fences older marks (§6.5). */
-    pipe.on<{ to: string; group: Group }>(
-      'reg.digest',
-      shape.has({ to: shape.text, group: isGroup }),
-      async (m): Promise<DigestResult> => {
-        if (await guard({ ...m, key: '' })) return { ok: false, group: group ?? null };
-        const wall = lens.clock.wall();
-        const each = Array.from({ length: ranges }, (_, r) => r);
-        const digests = each.map((r) => copies.digest(r));
-        const due: boolean[] = [];
-        for (const r of each) {
-          due.push(copies.due(r, wall - grace));
-          if (r % 8 === 7) await time.sleep(lens.clock, 0);
-        }
-        return { ok: true, digests, due, wall };
-      },
-    );
-    pipe.on<{ to: string; group: Group; after: string; limit: number; range?: number }>(
+    /** For the sweep. Learning the group first is what fences older marks (§6.5). */
+    pipe.on<Base>('reg.digest', isAsk.digest, async (m): Promise<DigestResult> => {
+      if (await guard(m)) return { ok: false, group: group ?? null };
+      const digests = Array.from({ length: ranges }, (_, r) => copies.digest(r));
+      // A sweep of the release before asks which ranges hold something that may be dropped: `reg.due` says it.
+      return { ok: true, digests, due: [], wall: lens.clock.wall() };
+    });
+    pipe.on<Base & { after: string; limit: number; range?: number }>(
       'reg.list',
-      shape.has({ to: shape.text, group: isGroup, after: shape.text, limit: shape.whole }),
+      isAsk.list,
       async (m): Promise<ListResult> => {
-        if (await guard({ ...m, key: '' })) return { ok: false, group: group ?? null };
+        if (await guard(m)) return { ok: false, group: group ?? null };
         const keys =
           m.range === undefined ? await everywhere(m.after, m.limit) : copies.keys(m.range, m.after, m.limit);
         const page = keys.slice(0, m.limit);
@@ -222,29 +283,50 @@
           keys: page.flatMap((key) => {
             const slot = copies.get(key);
             if (!slot) return [];
-            const { accepted, held, touched } = slot.value;
-            return [{ key, accepted, until: held?.until ?? 0, touched }];
+            const { accepted, held, touched, extended } = slot.value;
+            return [{ key, accepted, until: held?.until ?? 0, touched, ...(extended ? { extended } : {}) }];
           }),
         };
       },
     );
-    pipe.on<Base & { ballot: Ballot; wall: Us }>(
-      'reg.purge',
-      shape.has({ ...base, ballot: shape.ballot, wall: shape.num }),
-      (m) =>
-        short(m.key, async () => {
-          const cur = copies.get(m.key)?.value;
-          if (m.to !== id || !cur || ballot.cmp(cur.accepted, m.ballot) !== 0) return { ok: false };
-          // Forgetting a promise is only safe once nothing that relied on it can still be on its way.
-          if (neededUntil(cur) + grace > Math.min(m.wall, lens.clock.wall())) return { ok: false };
-          await records.remove(m.key);
-          c.purged += 1;
-          return { ok: true };
-        }),
-    );
+    pipe.on<Base & { limit: number }>('reg.due', isAsk.due, async (m): Promise<DueResult> => {
+      if (await guard(m)) return { ok: false };
+      const wall = lens.clock.wall();
+      return { ok: true, keys: copies.due(wall - wait, Math.min(m.limit, 1024)), wall };
+    });
+    /** Whether a copy is the one that is meant, and nothing has needed it since the grace began (§6.4). */
+    const mayDrop = (key: string, accepted: Ballot, wall: Us): boolean => {
+      const cur = copies.get(key)?.value;
+      if (!cur || !ballot.same(cur.accepted, accepted)) return false;
+      return neededUntil(cur) + wait <= Math.min(wall, lens.clock.wall());
+    };
+    const raiseFloor = (to: number): Promise<void> =>
+      short(floorKey, async () => {
+        if (to > floor()) await records.write(floorKey, { ...none, promised: [to, ''] });
+      });
+    const dropOne = (key: string, accepted: Ballot, wall: Us): Promise<boolean> =>
+      short(key, async () => {
+        if (!mayDrop(key, accepted, wall)) return false;
+        // Its ballots are forgotten with it: whatever comes under this key again has to be above them.
+        await raiseFloor(copyOf(key).promised[0]);
+        await records.remove(key);
+        c.purged += 1;
+        return true;
+      });
+    pipe.on<DropAsk>('reg.drop', isAsk.drop, async (m) => {
+      if (await guard(m)) return { ok: false, dropped: 0 };
+      const those = m.keys.filter(([key, accepted]) => mayDrop(key, accepted, m.wall));
+      await raiseFloor(those.reduce((most, [key]) => Math.max(most, copyOf(key).promised[0]), 0));
+      const done = await Promise.all(m.keys.map(([key, accepted]) => dropOne(key, accepted, m.wall)));
+      return { ok: true, dropped: done.filter((x) => x).length };
+    });
+    pipe.on<Base & { key: string; ballot: Ballot; wall: Us }>('reg.purge', isAsk.purge, async (m) => ({
+      ok: m.to === id && (await dropOne(m.key, m.ballot, m.wall)),
+    }));
+
     const counts: Store['counts'] = () => {
-      const { batches, records: batched, merges, files, bytes } = records.counts();
-      return { ...c, longest: copies.longest(), batches, batched, merges, files, disk_bytes: bytes };
+      const { batches: n, records: batched, merges, files, bytes } = records.counts();
+      return { ...c, longest: copies.longest(), batches: n, batched, merges, files, disk_bytes: bytes };
     };
     return { id, group: () => group, learn, size: copies.size, counts };
   },
--- a/packages/keeper/src/sweep.ts
+++ b/packages/keeper/src/sweep.ts
@@ -2,9 +2,17 @@
 // and after a change of group brings every record onto a majority of the new one.
 import { time, us, type Clock, type Us } from '@thornsail/lens';
 import type { Pipe } from '@thornsail/pipe';
+import {
+  ballot,
+  type Ballot,
+  type DigestResult,
+  type DueResult,
+  type Group,
+  type Keep,
+  type ListResult,
+} from './messages.js';
 import { majority, type Registers } from './registers.js';
 import { ranges } from './shelf.js';
-import { ballot, grace, type Ballot, type DigestResult, type Group, type Keep, type ListResult } from './store.js';
 
 export type SweepResult = {
   complete: boolean;
@@ -16,9 +24,46 @@
 };
 /** Keys settled at once: after a change of group, and else. */
 const atOnce = { all: 16, mending: 4 };
-type Found = { k: Keep; accepted: Ballot; until: Us; touched: Us };
-const onMajority = (copies: Found[], need: number): boolean =>
-  copies.some((c) => copies.filter((x) => ballot.cmp(x.accepted, c.accepted) === 0).length >= need);
+/** Keys that are looked at for dropping in one go. */
+const dueAtOnce = 256;
+type Found = { k: Keep; accepted: Ballot; extended: Us };
+const alike = (a: Found, b: Found): boolean => ballot.same(a.accepted, b.accepted) && a.extended === b.extended;
+/** The value, and with it the latest extension that is known of it. */
+const onMajority = (copies: Found[], need: number): boolean => {
+  const extended = Math.max(...copies.map((c) => c.extended));
+  return copies.some((c) => c.extended === extended && copies.filter((x) => alike(x, c)).length >= need);
+};
+
+/**
+ * Drops what has expired everywhere: what every member has under the same ballot, and has not needed since its grace
+ * began. Gives how many, or nothing if a member did not answer.
+ */
+const dropDue = async (o: {
+  clock: Clock;
+  pipe: Pipe;
+  group: Group;
+  pause: Us;
+  still: () => boolean;
+}): Promise<number> => {
+  const { pipe, group } = o;
+  const each = <T>(kind: string, body: object): Promise<(T | undefined)[]> =>
+    Promise.all(
+      group.members.map((k) =>
+        pipe.ask<T>(k.at, kind, { to: k.id, group, ...body }, us.ms(800)).catch(() => undefined),
+      ),
+    );
+  for (let dropped = 0; ;) {
+    const lists = await each<DueResult>('reg.due', { limit: dueAtOnce });
+    const good = lists.flatMap((l) => (l?.ok ? [l] : []));
+    if (good.length < group.members.length || !o.still()) return dropped;
+    const rest = good.slice(1).map((l) => new Map(l.keys));
+    const keys = good[0]!.keys.filter(([key, b]) => rest.every((m) => m.has(key) && ballot.same(m.get(key)!, b)));
+    if (keys.length === 0) return dropped;
+    await each('reg.drop', { keys, wall: Math.min(...good.map((l) => l.wall)) });
+    dropped += keys.length;
+    if (o.pause > 0) await time.sleep(o.clock, o.pause);
+  }
+};
 
 export const sweep = {
   /**
@@ -49,17 +94,18 @@
       const here = digested.map((d) => d.digests[i]!);
       // After a change of group it is enough that a majority of the new one, asked under its mark, holds the same.
       if (o.all) return !here.some((d) => here.filter((x) => x === d).length >= need);
-      const due = digested.length === group.members.length && digested.every((d) => d.due[i]);
-      return due || here.some((d) => d !== here[0]);
+      return here.some((d) => d !== here[0]);
     });
     r.ranges = todo.length;
     let range = todo.shift();
     let after = '';
     const limit = 128;
-    if (range === undefined) {
+    const over = async (): Promise<SweepResult> => {
       r.complete = true;
+      if (!o.all && digested.length === group.members.length) r.purged = await dropDue(o);
       return r;
-    }
+    };
+    if (range === undefined) return over();
     while (o.still()) {
       const pages = await Promise.all(
         group.members.map((k) =>
@@ -78,11 +124,7 @@
       for (const { k, l } of good)
         for (const e of l.keys)
           if (end === null || e.key <= end)
-            byKey.set(e.key, [
-              ...(byKey.get(e.key) ?? []),
-              { k, accepted: e.accepted, until: e.until, touched: e.touched },
-            ]);
-      const wall = Math.min(...good.map((g) => g.l.wall));
+            byKey.set(e.key, [...(byKey.get(e.key) ?? []), { k, accepted: e.accepted, extended: e.extended ?? 0 }]);
       const keys = [...byKey].sort(([a], [b]) => (a < b ? -1 : 1));
       const failed = { any: false };
       const work = async (): Promise<void> => {
@@ -94,22 +136,8 @@
           }
           r.seen += 1;
           const first = copies[0]!;
-          const same =
-            copies.length === good.length && copies.every((c) => ballot.cmp(c.accepted, first.accepted) === 0);
-          if (
-            good.length === group.members.length &&
-            same &&
-            copies.every((c) => Math.max(c.until, c.touched) + grace < wall)
-          ) {
-            await Promise.all(
-              copies.map((c) =>
-                pipe
-                  .ask(c.k.at, 'reg.purge', { to: c.k.id, group, key, ballot: first.accepted, wall })
-                  .catch(() => undefined),
-              ),
-            );
-            r.purged += 1;
-          } else if (o.all ? !onMajority(copies, need) : !same) {
+          const same = copies.length === good.length && copies.every((c) => alike(c, first));
+          if (o.all ? !onMajority(copies, need) : !same) {
             try {
               await registers.settleKey(key, us.s(2));
             } catch {
@@ -131,10 +159,7 @@
       }
       range = todo.shift();
       after = '';
-      if (range === undefined) {
-        r.complete = true;
-        return r;
-      }
+      if (range === undefined) return over();
     }
     return r;
   },
--- /dev/null
+++ b/packages/keeper/test/registers.test.ts
@@ -0,0 +1,643 @@
+// Registers (§6.2 to §6.4): reservations, reads of many keys, extensions, what is sent, and dropping.
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { world, type Host, type World } from '@thornsail/fog';
+import {
+  ballot,
+  registers,
+  store,
+  sweep,
+  type Ballot,
+  type Group,
+  type Held,
+  type Registers,
+  type Store,
+  type SweepResult,
+  type Write,
+} from '@thornsail/keeper';
+import { fault, invariant, us, type Us } from '@thornsail/lens';
+import { logbook } from '@thornsail/logbook';
+import { pipe, shape, type Pipe } from '@thornsail/pipe';
+
+type Stage = {
+  w: World;
+  hosts: Host[];
+  stores: Map<number, Store>;
+  boot: (i: number) => Promise<void>;
+  group: (mark: number, ids: number[]) => void;
+  edge: (n: number, near?: (id: string) => number) => Promise<{ regs: Registers; host: Host; pipe: Pipe }>;
+  pass: (e: { regs: Registers; pipe: Pipe }, all: boolean) => Promise<SweepResult>;
+  wait: (t: Us) => Promise<void>;
+};
+const at = (i: number): string => `127.0.2.${i}:7101`;
+/** Keepers by number, edges by number, and a story told in simulated time. A keeper is in the zone of its number. */
+const stage = async (
+  seed: number,
+  tell: (x: Stage) => Promise<void>,
+  o: { grace?: Us; diskTime?: Us } = {},
+): Promise<void> => {
+  invariant.clear();
+  const w = world.open({
+    seed,
+    zoneDelay: us.ms(1),
+    clientDelay: us.ms(1),
+    clientIp: '127.0.9.9',
+    ...(o.diskTime ? { diskTime: o.diskTime } : {}),
+  });
+  const hosts = [1, 2, 3, 4].map((i) => w.host(`127.0.2.${i}`, `z${i}`));
+  const stores = new Map<number, Store>();
+  let group: Group = { mark: 0, members: [] };
+  const s: Stage = {
+    w,
+    hosts,
+    stores,
+    boot: async (i) => {
+      const lens = w.lens(hosts[i - 1]!);
+      const p = await pipe.open(lens, at(i));
+      const book = await logbook.open(lens.disk);
+      stores.set(
+        i,
+        await store.open({ lens, pipe: p, book, freshId: `k${i}`, ...('grace' in o ? { grace: o.grace! } : {}) }),
+      );
+    },
+    group: (mark, ids) => {
+      group = { mark, members: ids.map((i) => ({ id: `k${i}`, at: at(i) })) };
+    },
+    edge: async (n, near) => {
+      const host = w.host(`127.0.1.${n}`, `z${n}`);
+      const lens = w.lens(host);
+      const p = await pipe.open(lens, `127.0.1.${n}:7101`);
+      const regs = registers.open({ lens, pipe: p, by: `e${n}`, group: () => group, ...(near ? { near } : {}) });
+      return { regs, host, pipe: p };
+    },
+    pass: (e, all) =>
+      sweep.pass({
+        clock: w.lens(w.host('127.0.8.8', 'z9')).clock,
+        pipe: e.pipe,
+        registers: e.regs,
+        group,
+        all,
+        pause: 0,
+        still: () => true,
+      }),
+    wait: (t) =>
+      new Promise((fin) => {
+        w.at(w.now() + t, fin);
+      }),
+  };
+  let done = '';
+  const story = async (): Promise<void> => {
+    for (const i of [1, 2, 3]) await s.boot(i);
+    s.group(1, [1, 2, 3]);
+    await tell(s);
+    done = 'yes';
+  };
+  story().catch((e) => {
+    done = e instanceof Error ? (e.stack ?? e.message) : String(e);
+  });
+  await w.run(us.s(20_000));
+  assert.is(done, 'yes');
+  assert.equal(invariant.breaches(), []);
+};
+const put =
+  (value: unknown, keep: Us = us.s(9999)) =>
+  (_v: unknown, x: { max: Us }): Write<void> => ({ held: { value, until: x.max + keep }, result: undefined });
+const append =
+  (id: string) =>
+  (v: unknown, x: { max: Us }, was: Us): Write<string[]> => {
+    const list = (v as string[] | undefined) ?? [];
+    return { held: { value: [...list, id], until: Math.max(was, x.max + us.s(60)) }, result: list };
+  };
+const codeOf = (work: Promise<unknown>): Promise<string> =>
+  work.then(
+    () => 'ok',
+    (e) => fault.info(e).code ?? String(e),
+  );
+/** Frames and time that one thing takes. */
+const cost = async (w: World, work: () => Promise<unknown>): Promise<{ frames: number; bytes: number; took: Us }> => {
+  const [frames, bytes, from] = [w.frames(), w.zoneBytes(), w.now()];
+  await work();
+  return { frames: w.frames() - frames, bytes: w.zoneBytes() - bytes, took: w.now() - from };
+};
+const wallAt = (w: World, after: Us): Us => w.lens(w.host('127.0.8.7', 'z9')).clock.wall() + after;
+
+test('a reserved key takes one round to change; a new one and one that another edge had', () =>
+  stage(1, async ({ w, edge, wait }) => {
+    const [a, b] = [await edge(1), await edge(2)];
+    await a.regs.change('warm', put(1));
+    for (const key of ['new', 'taken']) {
+      if (key === 'taken') await b.regs.change(key, append('b'));
+      await a.regs.reserve(key);
+      await wait(us.s(1));
+      const rounds = a.regs.counts().rounds;
+      let saw: string[] = [];
+      const c = await cost(w, async () => (saw = await a.regs.change(key, append('a'))));
+      assert.is(a.regs.counts().rounds, rounds, 'a prepare was needed');
+      assert.ok(c.took < us.ms(5), `${key} took ${c.took}`);
+      assert.equal(saw, key === 'taken' ? ['b'] : []);
+    }
+    // The promise is used up and renewed; a second reservation costs nothing.
+    assert.is((await cost(w, () => a.regs.reserve('new'))).frames, 0);
+  }));
+test('a reservation that another edge has come before falls back, and nothing is lost or doubled', async () => {
+  for (let seed = 1; seed <= 10; seed++)
+    await stage(seed, async ({ edge, wait }) => {
+      const [a, b] = [await edge(1), await edge(2)];
+      await a.regs.reserve('k');
+      await b.regs.reserve('k');
+      const saw = await Promise.all([a.regs.change('k', append('a')), b.regs.change('k', append('b'))]);
+      await wait(us.s(1));
+      const end = (await a.regs.read('k')) as string[];
+      assert.equal([...end].sort(), ['a', 'b']);
+      assert.equal(saw[0], end.slice(0, end.indexOf('a')));
+      assert.equal(saw[1], end.slice(0, end.indexOf('b')));
+      assert.ok(a.regs.counts().conflicts + b.regs.counts().conflicts > 0);
+    });
+});
+test('a reservation without a majority fails in time, and one that keepers lost with their disks is tried again', () =>
+  stage(2, async ({ w, hosts, edge, boot, group }) => {
+    const a = await edge(1);
+    await a.regs.reserve('k');
+    for (const i of [0, 1]) w.kill(hosts[i]!, 'power');
+    const from = w.now();
+    assert.is(await codeOf(a.regs.reserve('other', us.ms(300))), 'no-majority');
+    assert.ok(w.now() - from < us.ms(800));
+    for (const i of [0, 1]) {
+      w.start(hosts[i]!);
+      await boot(i + 1);
+    }
+    assert.equal(await a.regs.change('k', append('a')), []);
+    group(2, [1, 2, 3]);
+    assert.equal(await a.regs.change('k', append('b')), ['a'], 'a promise of an older group counted');
+  }));
+
+test('many keys are read with one frame to each keeper, their values from the nearest alone', () =>
+  stage(3, async ({ w, edge }) => {
+    const writer = await edge(2);
+    const big = 'v'.repeat(4000);
+    const keys = Array.from({ length: 30 }, (_, i) => `k${i}`);
+    for (const key of keys) await writer.regs.change(key, put({ key, big }));
+    // The edge of zone 1 reads from the keeper of zone 1: no value crosses a zone.
+    const a = await edge(1, (id) => (id === 'k1' ? 0 : 1));
+    await a.regs.reachable();
+    let got: unknown[] = [];
+    const c = await cost(w, async () => (got = await a.regs.readMany([...keys, 'missing'])));
+    assert.equal(got, [...keys.map((key) => ({ key, big })), undefined]);
+    assert.is(c.frames, 6);
+    assert.ok(c.bytes < 30 * 200, `${c.bytes} bytes between zones for 30 values of 4000`);
+    assert.ok(c.took < us.ms(4));
+    const one = await cost(w, () => a.regs.read('k7'));
+    assert.ok(one.bytes < 1000 && one.frames === 6, JSON.stringify(one));
+    assert.equal(await a.regs.readMany([]), []);
+    assert.is(a.regs.counts().fetched, 0);
+  }));
+test('a nearest keeper that is down, frozen or behind costs a few milliseconds, never the newest value', () =>
+  stage(4, async ({ w, hosts, edge, boot, wait }) => {
+    const writer = await edge(2);
+    const a = await edge(1, (id) => Number(id.slice(1)));
+    const keys = Array.from({ length: 5 }, (_, i) => `k${i}`);
+    for (const key of keys) await writer.regs.change(key, append('old'));
+    await a.regs.readMany(keys);
+    w.kill(hosts[0]!, 'power');
+    for (const key of keys) await writer.regs.change(key, append('new'));
+    const all = keys.map(() => ['old', 'new']);
+    let got: unknown[] = [];
+    const down = await cost(w, async () => (got = await a.regs.readMany(keys)));
+    assert.equal(got, all);
+    assert.ok(down.took < us.ms(12), `${down.took} with the nearest one down`);
+    const next = await cost(w, () => a.regs.readMany(keys));
+    assert.ok(next.took < us.ms(5), `${next.took}: one that was slow just now is not waited for again`);
+    w.start(hosts[0]!);
+    await boot(1);
+    await wait(us.s(3));
+    assert.equal(await a.regs.readMany(keys), all, 'the keeper that came back is behind');
+    await wait(us.s(1));
+    // It was mended by that read: it alone can give the value now, with any other for the majority.
+    w.kill(hosts[1]!, 'power');
+    assert.equal(await a.regs.readMany(keys), all);
+    w.start(hosts[1]!);
+    await boot(2);
+    await wait(us.s(3));
+    w.freeze(hosts[0]!);
+    const frozen = await cost(w, () => a.regs.readMany(keys));
+    assert.ok(frozen.took < us.ms(12), `${frozen.took} with the nearest one frozen`);
+    const change = await cost(w, () => writer.regs.change('k1', append('x')));
+    assert.ok(change.took < us.ms(12), `${change.took} for a change`);
+    w.wake(hosts[0]!);
+  }));
+test('keys of which the keepers differ are settled, the others of the same read are not', () =>
+  stage(5, async ({ w, hosts, edge }) => {
+    const a = await edge(1);
+    for (const k of ['x', 'y', 'z']) await a.regs.change(k, append('1'));
+    // The accept of a second append reaches keeper3 alone: the other two lose power before it comes.
+    const b = await edge(3);
+    await b.regs.reserve('y');
+    const heal = w.cut([b.host], [hosts[0]!, hosts[1]!]);
+    assert.is(await codeOf(b.regs.change('y', append('2'), us.ms(200))), 'no-majority');
+    heal();
+    const rounds = a.regs.counts().rounds;
+    const [x, y, z] = (await a.regs.readMany(['x', 'y', 'z'])) as string[][];
+    assert.equal([x, z], [['1'], ['1']]);
+    assert.equal(y!.slice(0, 1), ['1']);
+    assert.equal(await a.regs.read('y'), y, 'a second read sees something else');
+    // One prepare that learns of the other's ballot, and one above it.
+    assert.ok(a.regs.counts().rounds - rounds <= 2, JSON.stringify(a.regs.counts()));
+  }));
+
+test('what is sent back: no value to who has it or did not want it; a group is named by its mark', () =>
+  stage(6, async ({ w, edge }) => {
+    const a = await edge(1);
+    const b = await edge(2);
+    const big = 'v'.repeat(20_000);
+    await a.regs.change('k', put(big));
+    const again = await cost(w, () => a.regs.change('k', put(big)));
+    assert.ok(again.bytes > 40_000 && again.bytes < 43_000, `${again.bytes} bytes for two copies of 20 000`);
+    // The other edge has never seen it: one value comes, from one keeper; then it has it.
+    await b.regs.reachable();
+    const first = await cost(w, () => b.regs.reserve('k'));
+    assert.ok(first.bytes < 22_000, `${first.bytes} bytes for one value`);
+    await a.regs.change('small', put(1));
+    const small = await cost(w, () => a.regs.change('small', put(2)));
+    assert.is(small.frames, 6);
+    assert.ok(small.bytes < 1100, `${small.bytes} bytes between zones for a change of a small value`);
+  }));
+test('one keeper that is slow or cut off does not slow the others, and gets the value all the same', () =>
+  stage(7, async ({ w, hosts, edge, wait }) => {
+    const a = await edge(1);
+    await a.regs.change('k', put(0));
+    hosts[2]!.disk.hangsUntil = w.now() + us.s(3);
+    for (let i = 1; i <= 20; i++) {
+      const c = await cost(w, () => a.regs.change('k', put(i)));
+      assert.ok(c.took < us.ms(8), `change ${i} took ${c.took}`);
+    }
+    await wait(us.s(4));
+    w.kill(hosts[0]!, 'power');
+    assert.is(await a.regs.read('k'), 20);
+    const b = await edge(3);
+    assert.is(await b.regs.read('k'), 20);
+  }));
+
+test('an extension keeps values for longer with one frame to each keeper, and says which keys have none', () =>
+  stage(8, async ({ w, edge, wait }) => {
+    const [a, b] = [await edge(1), await edge(2)];
+    for (const k of ['x', 'y', 'z']) await a.regs.change(k, put(k, us.s(10)));
+    await a.regs.change('long', put('long', us.s(5000)));
+    await a.regs.change('removed', put('r', us.s(10)));
+    await a.regs.change('removed', () => ({ held: null, result: undefined }));
+    let missing: string[] = [];
+    const c = await cost(w, async () => {
+      missing = await a.regs.extend(['x', 'none', 'y', 'long', 'removed'], wallAt(w, us.s(100)));
+    });
+    assert.equal(missing, ['none', 'removed']);
+    assert.is(c.frames, 6);
+    await wait(us.s(20));
+    assert.equal(await b.regs.readMany(['x', 'y', 'z', 'long']), ['x', 'y', undefined, 'long']);
+    // Shorter ones change nothing; who has ended is not brought back.
+    assert.equal(await b.regs.extend(['x', 'z'], wallAt(w, us.s(1))), ['z']);
+    await wait(us.s(60));
+    assert.equal(await b.regs.readMany(['x', 'y', 'z', 'long']), ['x', 'y', undefined, 'long']);
+    await wait(us.s(30));
+    assert.equal(await b.regs.readMany(['x', 'y', 'z', 'long']), [undefined, undefined, undefined, 'long']);
+  }));
+test('an extension holds through any majority: reads, changes with old knowledge, and a change of the group', () =>
+  stage(9, async ({ w, hosts, edge, wait, boot, group, pass }) => {
+    const a = await edge(1);
+    const b = await edge(2);
+    await a.regs.change('k', put('v', us.s(10)));
+    await a.regs.change('gone', put('w', us.s(10)));
+    // Edge 2 remembers the value with its old end; then the extension reaches keepers 1 and 2 only.
+    await b.regs.change('k', put('v', us.s(10)));
+    const heal = w.cut([a.host], [hosts[2]!]);
+    assert.equal(await a.regs.extend(['k', 'gone'], wallAt(w, us.s(4000))), []);
+    await wait(us.s(30));
+    heal();
+    // Each majority in turn, by a keeper without power.
+    for (const i of [0, 1, 2]) {
+      w.kill(hosts[i]!, 'power');
+      assert.is(await a.regs.read('k'), 'v', `without keeper ${i + 1}`);
+      w.start(hosts[i]!);
+      await boot(i + 1);
+    }
+    // What edge 2 remembers says that the value has ended: it must ask before it takes it for absent.
+    let saw: unknown = 'not called';
+    let until = 0;
+    await b.regs.change('k', (v, _x, was) => {
+      saw = v;
+      until = was;
+      return { held: { value: v, until: 1 }, result: undefined };
+    });
+    assert.is(saw, 'v');
+    assert.ok(until > wallAt(w, us.s(3900)), 'the writer was not told of the extension');
+    assert.is(await a.regs.read('k'), 'v', 'a shorter end cut what was promised');
+    // Keepers 1 and 2 leave one after the other: the extension has to come with what stays.
+    await boot(4);
+    group(2, [2, 3]);
+    assert.ok((await pass(a, true)).complete);
+    group(3, [2, 3, 4]);
+    assert.ok((await pass(a, true)).complete);
+    group(4, [3, 4]);
+    assert.ok((await pass(a, true)).complete);
+    for (const i of [0, 1]) w.kill(hosts[i]!, 'disk');
+    assert.equal(await a.regs.readMany(['k', 'gone'], us.s(4)), ['v', 'w']);
+  }));
+test('a writer that remembers an older end asks before it takes the value for absent', () =>
+  stage(12, async ({ w, edge, wait }) => {
+    const [a, b] = [await edge(1), await edge(2)];
+    await b.regs.change('k', put('v', us.s(10)));
+    assert.equal(await a.regs.extend(['k'], wallAt(w, us.s(500))), []);
+    await wait(us.s(60));
+    const saw: unknown[] = [];
+    const write =
+      (value: string) =>
+      (v: unknown, x: { max: Us }): Write<void> => {
+        saw.push(v);
+        return { held: { value, until: x.max + us.s(10) }, result: undefined };
+      };
+    await b.regs.change('k', write('w'));
+    // Its own extensions it remembers: one round is enough.
+    assert.equal(await b.regs.extend(['k'], wallAt(w, us.s(2000))), []);
+    await wait(us.s(1000));
+    const quick = b.regs.counts().quick;
+    await b.regs.change('k', write('x'));
+    assert.equal(saw, ['v', 'w']);
+    assert.is(b.regs.counts().quick, quick + 1);
+    assert.is(await a.regs.read('k'), 'x');
+  }));
+test('what is removed stays so, however long it was extended; what is written after it is a value of its own', () =>
+  stage(16, async ({ w, edge, wait, pass }) => {
+    const [a, b] = [await edge(1), await edge(2)];
+    await a.regs.change('k', put('v', us.s(10)));
+    assert.equal(await b.regs.extend(['k'], wallAt(w, us.s(500))), []);
+    await a.regs.change('k', () => ({ held: null, result: undefined }));
+    assert.is(await b.regs.read('k'), undefined);
+    assert.equal(await b.regs.extend(['k'], wallAt(w, us.s(900))), ['k']);
+    let saw: unknown = 'not called';
+    const quick = a.regs.counts().quick;
+    await a.regs.change(
+      'k',
+      (v, x) => ((saw = v), { held: { value: 'w', until: x.max + us.s(10) }, result: undefined }),
+    );
+    assert.equal([saw, a.regs.counts().quick], [undefined, quick + 1]);
+    assert.is(await b.regs.read('k'), 'w');
+    await b.regs.change('k', (v) => ((saw = v), { held: null, result: undefined }));
+    assert.is(saw, 'w');
+    await wait(us.s(2000));
+    await pass(a, false);
+    assert.is(await a.regs.read('k'), undefined);
+  }));
+test('an extension that reached one keeper alone: what one reader was told, every later reader is told', async () => {
+  let shown = 0;
+  for (let seed = 1; seed <= 12; seed++)
+    await stage(seed, async ({ w, hosts, edge, wait }) => {
+      const a = await edge(1);
+      await a.regs.change('k', put('v', us.s(10)));
+      const heal = w.cut([a.host], [hosts[1]!, hosts[2]!]);
+      assert.is(await codeOf(a.regs.extend(['k'], wallAt(w, us.s(4000)), us.ms(300))), 'no-majority');
+      heal();
+      await wait(us.s(20));
+      // Reads through the three majorities, in an order by seed.
+      const seen: unknown[] = [];
+      const b = await edge(2);
+      for (let i = 0; i < 6; i++) {
+        const healOne = w.cut([b.host], [hosts[(seed + i) % 3]!]);
+        // A change that leaves the value as it is tells of it just as a read does.
+        const look = (): Promise<unknown> => b.regs.change('k', (v) => ({ keep: true, result: v }));
+        seen.push(await (seed % 2 ? b.regs.read('k') : look()));
+        healOne();
+        await wait(us.ms(100));
+      }
+      const first = seen.indexOf('v');
+      if (first >= 0) {
+        shown += 1;
+        assert.ok(
+          seen.slice(first).every((v) => v === 'v'),
+          `${seed}: ${seen.join()}`,
+        );
+      }
+    });
+  assert.ok(shown > 6, 'no reader met the keeper that has the extension');
+});
+test('extensions that race with changes and lost keepers: what was acknowledged holds', async () => {
+  for (let seed = 1; seed <= 20; seed++)
+    await stage(seed, async ({ w, hosts, edge, wait, boot }) => {
+      const r = w.rand;
+      const es = [await edge(1), await edge(2), await edge(3)];
+      const keys = ['p', 'q'];
+      for (const k of keys) await es[0]!.regs.change(k, append('0'));
+      const most = new Map<string, Us>();
+      const work: Promise<unknown>[] = [];
+      for (let i = 0; i < 40; i++) {
+        const e = es[r.int(3)]!;
+        const key = keys[r.int(2)]!;
+        if (r.int(2) === 0) work.push(e.regs.change(key, append(`${i}`), us.ms(600)).catch(() => undefined));
+        else {
+          const until = wallAt(w, us.s(60 + r.int(4000)));
+          const some = r.int(2) ? keys : [key];
+          work.push(
+            e.regs.extend(some, until, us.ms(600)).then(
+              (missing) => {
+                assert.equal(missing, []);
+                for (const k of some) most.set(k, Math.max(most.get(k) ?? 0, until));
+              },
+              () => undefined,
+            ),
+          );
+        }
+        if (i % 12 === 5) {
+          const at = r.int(3);
+          w.kill(hosts[at]!, 'power');
+          w.at(w.now() + r.int(us.ms(300)), () => {
+            w.start(hosts[at]!);
+            void boot(at + 1);
+          });
+          await wait(us.ms(400));
+        }
+        await wait(r.int(us.ms(20)));
+      }
+      await Promise.all(work);
+      await wait(us.s(1));
+      for (const k of [...keys].sort((x, y) => (most.get(x) ?? 0) - (most.get(y) ?? 0))) {
+        const left = (most.get(k) ?? 0) - wallAt(w, 0);
+        if (left > us.s(2)) await wait(left - us.s(1));
+        for (let i = 0; i < 3; i++) {
+          const heal = w.cut([es[1]!.host], [hosts[i]!]);
+          const v = (await es[1]!.regs.read(k)) as string[] | undefined;
+          assert.ok(v?.includes('0'), `seed ${seed}: ${k} ended before what was promised, without keeper ${i + 1}`);
+          heal();
+        }
+      }
+    });
+});
+
+test('the grace before a copy may be dropped is an option, 10 s at least', async () => {
+  await stage(
+    10,
+    async ({ stores, edge, pass, wait, w, hosts }) => {
+      const a = await edge(1);
+      for (let i = 0; i < 1000; i++) await a.regs.change(`k${i}`, put(i, us.s(15)));
+      for (let i = 0; i < 5; i++) await a.regs.change(`long${i}`, put(i, us.s(9000)));
+      await a.regs.extend(['k3'], wallAt(w, us.s(300)));
+      assert.is((await pass(a, false)).purged, 0);
+      await wait(us.s(45));
+      const r = await pass(a, false);
+      assert.ok(r.complete && r.purged === 999 && r.seen === 0, JSON.stringify(r));
+      assert.equal(
+        [1, 2, 3].map((i) => stores.get(i)!.size()),
+        [6, 6, 6],
+      );
+      assert.is(await a.regs.read('k3'), 3);
+      assert.ok(stores.get(1)!.counts().longest < 400, 'one step looked at too much');
+      // The ballots of what was dropped are not used again.
+      assert.equal(await a.regs.change('k4', append('x')), []);
+      assert.is((await pass(a, false)).seen, 0);
+      w.kill(hosts[0]!, 'power');
+      assert.equal(await a.regs.read('k4'), ['x']);
+    },
+    { grace: us.s(20) },
+  );
+  for (const grace of [us.s(9), 0, NaN, 1.5e7 + 0.5]) {
+    let code = '';
+    await stage(11, async () => undefined, { grace }).catch((e: { actual?: unknown }) => (code = String(e.actual)));
+    assert.match(code, /grace/);
+  }
+});
+test('a keeper drops only what it is told by its ballot, and what has ended by its own clock, too', () =>
+  stage(
+    13,
+    async ({ w, hosts, stores, edge, pass, wait }) => {
+      const a = await edge(1);
+      for (const k of ['x', 'y', 'z']) await a.regs.change(k, put(k, us.s(5)));
+      const group = stores.get(1)!.group();
+      type Due = { keys: [string, [number, string]][] };
+      const ask = <T>(kind: string, body: object): Promise<T> =>
+        a.pipe.ask<T>(at(1), kind, { to: 'k1', group, ...body }, us.s(1));
+      const due = async (): Promise<Due['keys']> => (await ask<Due>('reg.due', { limit: 10 })).keys;
+      await wait(us.s(10));
+      assert.equal(await due(), []);
+      // The grace counts from the last thing that needed it: the third has one more change.
+      await a.regs.change('z', put('z', us.s(5)));
+      await wait(us.s(15));
+      const keys = await due();
+      assert.equal(keys.map(([k]) => k).sort(), ['x', 'y']);
+      const dropped = async (body: object): Promise<number> =>
+        (await ask<{ dropped: number }>('reg.drop', { wall: wallAt(w, 0), ...body })).dropped;
+      const [[x, ballotOfX], [y]] = keys as [Due['keys'][0], Due['keys'][0]];
+      assert.is(await dropped({ keys: [[x, [99, 'other']]] }), 0, 'another ballot');
+      assert.is(
+        await dropped({ keys: [[x, ballotOfX]], wall: wallAt(w, -us.s(20)) }),
+        0,
+        "the sweep's wall is earlier",
+      );
+      assert.is(await dropped({ keys: [['z', ballotOfX]] }), 0);
+      await a.regs.change(y, put('again', us.s(500)));
+      assert.is(await dropped({ keys }), 1, 'one was changed after it was listed');
+      assert.is(stores.get(1)!.size(), 2);
+      await wait(us.s(30));
+      // A keeper whose clock is behind does not agree yet.
+      hosts[2]!.skew = -us.s(300);
+      assert.is((await pass(a, false)).purged, 0);
+      hosts[2]!.skew = 0;
+      await wait(us.s(40));
+      assert.ok((await pass(a, false)).purged >= 1);
+      assert.is(await a.regs.read(y), 'again');
+    },
+    { grace: us.s(15) },
+  ));
+test('a copy that was dropped everywhere but at one keeper does not hide what is written after it', async () => {
+  for (let seed = 1; seed <= 6; seed++)
+    await stage(
+      seed,
+      async ({ w, hosts, edge, pass, wait }) => {
+        const a = await edge(1);
+        // Many changes, so that its ballots are high.
+        for (let i = 0; i < 20; i++) await a.regs.change('k', put(i, us.s(5)));
+        await wait(us.s(40));
+        // Keeper 3 answers what is due, and the word to drop it does not reach it.
+        let heal = (): void => undefined;
+        w.at(w.now() + us.ms(4) + w.rand.int(us.ms(3)), () => (heal = w.cut([a.host], [hosts[2]!])));
+        await pass(a, false);
+        heal();
+        const b = await edge(2);
+        await b.regs.change('k', put('again', us.s(500)));
+        for (const i of [0, 1, 2]) {
+          const healOne = w.cut([b.host], [hosts[i]!]);
+          assert.is(await b.regs.read('k'), 'again', `seed ${seed}, without keeper ${i + 1}`);
+          healOne();
+        }
+      },
+      { grace: us.s(20) },
+    );
+});
+
+/** A keeper of the release before: whole groups only, one key at a time, no extensions; it keeps nothing on disk. */
+const formerKeeper = async (w: World, host: Host, i: number): Promise<void> => {
+  const lens = w.lens(host);
+  const p = await pipe.open(lens, at(i));
+  type Copy = { promised: Ballot; accepted: Ballot; held: Held | null; touched: Us };
+  type Ask = { to: string; group: Group; key: string; ballot: Ballot; held: Held | null; next: Ballot | null };
+  const all = new Map<string, Copy>();
+  const none: Copy = { promised: [0, ''], accepted: [0, ''], held: null, touched: 0 };
+  const base = { to: shape.text, group: shape.has({ mark: shape.whole }), key: shape.text };
+  const answer = (key: string, copy: Copy): object => {
+    all.set(key, copy);
+    return { ok: true, copy, wall: lens.clock.wall() };
+  };
+  p.on<Ask>('reg.prepare', shape.has({ ...base, ballot: shape.ballot }), (m) => {
+    const cur = all.get(m.key) ?? none;
+    if (ballot.cmp(m.ballot, cur.promised) <= 0) return { ok: false, why: 'ballot', promised: cur.promised };
+    return answer(m.key, { ...cur, promised: m.ballot });
+  });
+  p.on<Ask>('reg.accept', shape.has({ ...base, ballot: shape.ballot }), (m) => {
+    const cur = all.get(m.key) ?? none;
+    if (ballot.cmp(m.ballot, cur.promised) < 0) return { ok: false, why: 'ballot', promised: cur.promised };
+    return answer(m.key, { promised: m.next ?? m.ballot, accepted: m.ballot, held: m.held, touched: 1 });
+  });
+  p.on<Ask>('reg.read', shape.has(base), (m) => answer(m.key, all.get(m.key) ?? none));
+};
+test('keepers of the release before take part: changes, reservations, reads of many keys, extensions', () =>
+  stage(14, async ({ w, hosts, edge, wait }) => {
+    for (const i of [2, 3]) {
+      w.kill(hosts[i - 1]!, 'disk');
+      w.start(hosts[i - 1]!);
+      await formerKeeper(w, hosts[i - 1]!, i);
+    }
+    const [a, b] = [await edge(1), await edge(2)];
+    await a.regs.reserve('x');
+    assert.equal(await a.regs.change('x', append('1')), []);
+    assert.equal(await b.regs.change('x', append('2')), ['1']);
+    await b.regs.change('y', put('y', us.s(10)));
+    assert.equal(await a.regs.readMany(['x', 'none', 'y']), [['1', '2'], undefined, 'y']);
+    assert.equal(await a.regs.extend(['y', 'none'], wallAt(w, us.s(500))), ['none']);
+    await wait(us.s(100));
+    w.kill(hosts[0]!, 'power');
+    assert.is(await b.regs.read('y'), 'y');
+  }));
+test('proposers and sweeps of the release before are answered as they were', () =>
+  stage(
+    15,
+    async ({ w, stores, edge, wait }) => {
+      const a = await edge(1);
+      await a.regs.change('k', put('v', us.s(5)));
+      await wait(us.s(1));
+      const group = stores.get(1)!.group()!;
+      const ask = <T>(kind: string, body: object): Promise<T> =>
+        a.pipe.ask<T>(at(1), kind, { to: 'k1', group, key: 'k', ...body }, us.s(1));
+      type Old = { ok: boolean; copy: { promised: Ballot; accepted: Ballot; held: Held; touched: Us }; wall: Us };
+      const p = await ask<Old>('reg.prepare', { ballot: [50, 'old'] });
+      assert.equal([p.copy.promised, p.copy.held.value], [[50, 'old'], 'v']);
+      const held = { value: 'w', until: wallAt(w, us.s(5)), ops: ['old.1'] };
+      const acc = await ask<Old>('reg.accept', { ballot: [50, 'old'], held, next: [51, 'old'] });
+      assert.equal([acc.copy.promised, acc.copy.accepted, acc.copy.held], [[51, 'old'], [50, 'old'], held]);
+      assert.equal((await ask<Old>('reg.read', {})).copy, acc.copy);
+      const purge = (): Promise<{ ok: boolean }> => ask('reg.purge', { ballot: [50, 'old'], wall: wallAt(w, 0) });
+      assert.is((await purge()).ok, false);
+      await wait(us.s(20));
+      assert.is((await purge()).ok, true);
+      type Refused = { ok: boolean; promised: Ballot };
+      const low = await ask<Refused>('reg.prepare', { ballot: [51, 'old'] });
+      assert.equal([low.ok, low.promised[0]], [false, 51], 'a ballot of what was dropped is used again');
+      assert.ok((await ask<Old>('reg.prepare', { ballot: [52, 'old'] })).ok);
+    },
+    { grace: us.s(10) },
+  ));
+test.run();
--- a/packages/logbook/src/batches.ts
+++ b/packages/logbook/src/batches.ts
@@ -7,7 +7,7 @@
 
 /** The newest version of a record: its file, its bytes there, the number of the batch it came in, and how many files
  * in effect hold older ones. */
-export type Slot<T> = { value: T; seq: number; file: Extent; bytes: number; older: number };
+export type Slot<T> = { key: string; value: T; seq: number; file: Extent; bytes: number; older: number };
 /** Where the newest versions are kept in memory: only what is synced gets there. */
 export type Index<T> = {
   get: (key: string) => Slot<T> | undefined;
@@ -77,19 +77,21 @@
     };
     /** A record that was found or has just been synced in this file. */
     const place = (x: Line<T>, at: Extent, bytes: number): void => {
-      at.keys.push(x.key);
-      at.bytes += bytes;
       const was = newest(x.key);
+      // One string for a key, however often it comes.
+      const key = was?.key ?? x.key;
+      at.keys.push(key);
+      at.bytes += bytes;
       if (was && was.seq > x.seq) return moreOlder(was);
       if (was && needed(was)) was.file.live -= was.bytes;
-      const now: Gone = { seq: x.seq, file: at, bytes, older: was ? was.older + 1 : 0 };
+      const now: Gone = { key, seq: x.seq, file: at, bytes, older: was ? was.older + 1 : 0 };
       if (x.value === undefined) {
-        index.drop(x.key);
-        gone.set(x.key, now);
+        index.drop(key);
+        gone.set(key, now);
         if (needed(now)) at.live += bytes;
       } else {
-        gone.delete(x.key);
-        index.set(x.key, { ...now, value: x.value });
+        gone.delete(key);
+        index.set(key, { ...now, value: x.value });
         at.live += bytes;
       }
     };
