A keeper whose disk hangs holds a bounded number of messages; a start holds few files in memory

Every change of every edge waited in a keeper whose disk hung, each with its value: at 400 changes a second and 40 KB each a few seconds are more than a keeper may use. A start reads 8 files at a time instead of 64, each up to 1 MiB.

--- a/packages/keeper/src/store.ts
+++ b/packages/keeper/src/store.ts
@@ -41,6 +41,8 @@
     mended: number;
     extended: number;
     purged: number;
+    refused: number;
+    waiting: number;
     longest: number;
     batches: number;
     batched: number;
@@ -54,6 +56,9 @@
 export const grace = us.s(600);
 const leastGrace = us.s(10);
 
+/** So many messages may wait for the disk at once; those beyond are refused, as if this keeper were not there (§8). */
+const mostWaiting = 2000;
+
 /** Registers were documents of such names before they were kept in batches. */
 const former = 'reg:';
 /** The record of the floor; no register has this key. */
@@ -104,7 +109,7 @@
     if (!(Number.isSafeInteger(wait) && wait >= leastGrace))
       throw fault.make({ step: 'store.open', code: 'grace' }, `grace is ${wait} us, it is ${leastGrace} us at least`);
     const log = lens.log('keeper');
-    const c = { prepares: 0, accepts: 0, rejected: 0, mended: 0, extended: 0, purged: 0 };
+    const c = { prepares: 0, accepts: 0, rejected: 0, mended: 0, extended: 0, purged: 0, refused: 0 };
     const copies = shelf.open();
     const { index, floor } = withFloor(copies);
     const records = batches.open<Copy>({ book, index, prefix: former, limits: o.limits ?? {} });
@@ -165,6 +170,21 @@
       c.rejected += 1;
       return { ok: false, why: 'ballot', promised };
     };
+    let waiting = 0;
+    const bounded = async <T>(work: () => Promise<T>): Promise<T> => {
+      if (waiting >= mostWaiting) {
+        c.refused += 1;
+        throw fault.make({ step: 'keeper', code: 'busy' }, 'too much waits for the disk');
+      }
+      waiting += 1;
+      try {
+        return await work();
+      } finally {
+        waiting -= 1;
+      }
+    };
+    /** One at a time for each key. */
+    const inLine = <T>(key: string, work: () => Promise<T>): Promise<T> => bounded(() => short(key, work));
     const copyOf = (key: string): Copy => copies.get(key)?.value ?? none;
     /** What a copy has promised. Of one that was dropped only this is known: no ballot of it was above the floor. */
     const promisedOf = (key: string): Ballot =>
@@ -176,7 +196,7 @@
     };
 
     pipe.on<PrepareAsk>('reg.prepare', isAsk.prepare, (m) =>
-      short(m.key, async (): Promise<Reply<PrepareReply>> => {
+      inLine(m.key, async (): Promise<Reply<PrepareReply>> => {
         const no = await guard(m);
         if (no) return no;
         const promised = promisedOf(m.key);
@@ -189,7 +209,7 @@
       }),
     );
     pipe.on<AcceptAsk>('reg.accept', isAsk.accept, (m) =>
-      short(m.key, async (): Promise<Reply<AcceptReply>> => {
+      inLine(m.key, async (): Promise<Reply<AcceptReply>> => {
         const no = await guard(m);
         if (no) return no;
         const cur = copyOf(m.key);
@@ -216,7 +236,7 @@
     });
     /** A copy already agreed on by a majority, brought to a keeper that has an older one. */
     pipe.on<MendAsk>('reg.mend', isAsk.mend, (m) =>
-      short(m.key, async (): Promise<Reply<AcceptReply>> => {
+      inLine(m.key, async (): Promise<Reply<AcceptReply>> => {
         const no = await guard(m);
         if (no) return no;
         const cur = copyOf(m.key);
@@ -248,7 +268,7 @@
     pipe.on<ExtendAsk>('reg.extend', isAsk.extend, async (m): Promise<Reply<ExtendReply>> => {
       const no = await guard(m);
       if (no) return no;
-      const found = await Promise.all(m.keys.map((key) => extendOne(key, m.until)));
+      const found = await bounded(() => Promise.all(m.keys.map((key) => extendOne(key, m.until))));
       return reply(m, { found });
     });
 
@@ -326,7 +346,7 @@
 
     const counts: Store['counts'] = () => {
       const { batches: n, records: batched, merges, files, bytes } = records.counts();
-      return { ...c, longest: copies.longest(), batches: n, batched, merges, files, disk_bytes: bytes };
+      return { ...c, waiting, longest: copies.longest(), batches: n, batched, merges, files, disk_bytes: bytes };
     };
     return { id, group: () => group, learn, size: copies.size, counts };
   },
--- a/packages/keeper/test/registers.test.ts
+++ b/packages/keeper/test/registers.test.ts
@@ -277,6 +277,30 @@
     assert.is(await b.regs.read('k'), 20);
   }));
 
+test('a keeper whose disk hangs holds a bounded number of messages, and is brought up to date afterwards', () =>
+  stage(17, async ({ w, hosts, stores, edge, wait, pass }) => {
+    const a = await edge(1);
+    await a.regs.change('warm', put(0));
+    hosts[2]!.disk.hangsUntil = w.now() + us.s(5);
+    let most = 0;
+    const work: Promise<unknown>[] = [];
+    for (let i = 0; i < 2500; i++) {
+      work.push(a.regs.change(`k${i}`, put(i)));
+      if (i % 10 === 0) await wait(us.ms(10));
+      most = Math.max(most, stores.get(3)!.counts().waiting);
+    }
+    await Promise.all(work);
+    assert.ok(most > 1500 && most <= 2000, `${most} messages waited`);
+    assert.ok(stores.get(3)!.counts().refused > 0);
+    await wait(us.s(5));
+    assert.is(stores.get(3)!.counts().waiting, 0);
+    assert.ok((await pass(a, false)).complete);
+    assert.is(stores.get(3)!.size(), 2501);
+    w.kill(hosts[0]!, 'power');
+    const b = await edge(2);
+    const keys = Array.from({ length: 2500 }, (_, i) => `k${i}`);
+    assert.equal(await b.regs.readMany(keys, us.s(5)), [...keys.keys()]);
+  }));
 test('an extension keeps values for longer with one frame to each keeper, and says which keys have none', () =>
   stage(8, async ({ w, edge, wait }) => {
     const [a, b] = [await edge(1), await edge(2)];
--- a/packages/logbook/src/batches.ts
+++ b/packages/logbook/src/batches.ts
@@ -35,7 +35,8 @@
 const isGone = <T>(x: Newest<T>): x is Gone => x.value === undefined;
 const needed = <T>(x: Newest<T>): boolean => !isGone(x) || x.older > 0;
 
-const atOnce = async <X>(list: X[], fn: (x: X) => Promise<void>, many = 64): Promise<void> => {
+/** A few at a time: whole files are in memory while they are read. */
+const atOnce = async <X>(list: X[], fn: (x: X) => Promise<void>, many = 8): Promise<void> => {
   const left = list.values();
   const work = async (): Promise<void> => {
     for (const x of left) await fn(x);
@@ -235,7 +236,7 @@
     };
     const dropFormer = async (): Promise<void> => {
       const old = book.names().filter((name) => name.startsWith(o.prefix));
-      await atOnce(old, (name) => book.remove(name)).catch(() => undefined);
+      await atOnce(old, (name) => book.remove(name), 64).catch(() => undefined);
     };
 
     const readLines = async (kind: Kind, n: number): Promise<string[] | undefined> =>
