--- a/packages/fairway/src/forward/forward.ts
+++ b/packages/fairway/src/forward/forward.ts
@@ -93,7 +93,8 @@
   const ran = r.st.ran() !== 'no';
   const close = async (): Promise<void> => {
     if (charged) await (ran ? settle(r, actual(r), null) : x.books.giveBack(charged, r.id));
-    if (claimed && !ran) await x.books.unclaim(claimed, r.id);
+    // Each attempt has an id of its own here: no copy of this one can be on its way, so the key is free at once.
+    if (claimed && !ran) await x.books.unclaim(claimed, r.id, 0);
   };
   void close().finally(() => x.inFlight.delete(r.id));
   say(r, status, error, text, retryAfter);
@@ -124,7 +125,8 @@
   }
   if (!a && (await stillOpen(x, once)))
     return say(r, 409, 'in_progress', 'a request with this key is being served', soon(r));
-  return say(r, 409, 'outcome_unknown', 'a request with this key was sent and its outcome is not known', null);
+  // Nothing is at work any more, and nothing is promised: it may have run.
+  return say(r, 502, 'outcome_unknown', 'a request with this key was sent and its outcome is not known', null);
 };
 const claim = async (r: Run): Promise<Next> => {
   const { x, p } = r;
@@ -144,7 +146,7 @@
     r.st.go('reject');
     say(r, 502, 'no_keepers', 'the claim could not be kept by a majority', null);
     r.closing = true;
-    void x.books.unclaim(key, r.id).finally(() => x.inFlight.delete(r.id));
+    void x.books.unclaim(key, r.id, 0).finally(() => x.inFlight.delete(r.id));
     return 'done';
   }
   if (c.ok) {
@@ -483,7 +485,8 @@
   }
 };
 
-export const forward = async (f: Forwarding, p: Forward, out: HttpSay): Promise<void> => {
+/** `arrived` is when the request came: what it waited before this counts. */
+export const forward = async (f: Forwarding, p: Forward, out: HttpSay, arrived: Us): Promise<void> => {
   const x = f.edge;
   x.bump(p.turn ? 'turns' : 'jobs');
   const id = `${x.me}.${x.lens.rand.id()}`;
@@ -493,7 +496,7 @@
     p,
     say: out,
     st: stages.open(),
-    begun: x.lens.clock.now(),
+    begun: arrived,
     id,
     claimed: null,
     charged: null,
--- a/packages/keeper/src/members.ts
+++ b/packages/keeper/src/members.ts
@@ -17,6 +17,7 @@
 export type Members = {
   /** The newest group that this node knows; throws with code 'no-majority' if it knows none. */
   group: () => Group;
+  known: () => boolean;
   /** Takes in a newer group, and gives the highest ballot that stood in the way. */
   learn: (no: Refusal[]) => Ballot;
   /**
@@ -158,6 +159,7 @@
         if (!best) throw fault.make({ step: 'register', code: 'no-majority' }, 'no keeper group is known');
         return best;
       },
+      known: () => ahead !== undefined || o.group() !== undefined,
       learn: (no) => {
         let top = ballot.zero;
         for (const r of no) {
--- a/packages/keeper/src/registers.ts
+++ b/packages/keeper/src/registers.ts
@@ -42,6 +42,8 @@
   /** Brings one key onto a majority of the present group under its mark (§6.5). */
   settleKey: (key: string, timeLeft?: Us) => Promise<void>;
   reachable: (timeLeft?: Us) => Promise<boolean>;
+  /** Whether a keeper group is known at all. */
+  known: () => boolean;
   counts: () => Counts;
 };
 
@@ -260,6 +262,7 @@
           return false;
         }
       },
+      known: x.members.known,
       counts: () => ({ ...c }),
     };
   },
--- a/packages/thornsail/src/roles.ts
+++ b/packages/thornsail/src/roles.ts
@@ -1,5 +1,5 @@
 // The roles (§1.2). Each is given its lens and its checked options, and runs as well in fog as on a machine.
-import { workersOf, fairway, type EdgeLoad, type Fairway } from '@thornsail/fairway';
+import { workersOf, fairway, type Drain, type EdgeLoad, type Fairway } from '@thornsail/fairway';
 import type { FrontOptions, KeeperOptions, PilotOptions, TowerOptions } from '@thornsail/chart';
 import { harbour, type PlatformWorker } from '@thornsail/harbour';
 import { registers, store, sweep, type Group, type Registers } from '@thornsail/keeper';
@@ -24,7 +24,7 @@
   ready: () => { ok: boolean; why: string[] };
   counts: () => Record<string, number>;
   /** Stops taking new work, finishes what runs, and leaves the roster. */
-  drain: () => Promise<void>;
+  drain: (o?: Drain) => Promise<void>;
   close: () => Promise<void>;
   /** Calls back if this node must stop: its disk failed, and nothing it says of its state would be safe (§6.1). */
   onFailed: (fn: (why: string) => void) => void;
@@ -58,7 +58,8 @@
   freezes: m.freezes(),
   ...Object.fromEntries(Object.entries(m.beam.counts()).map(([k, v]) => [`news_${k}`, v])),
 });
-type Parts = SignalNode & {
+type Parts = Omit<SignalNode, 'drain'> & {
+  drain: (o?: Drain) => Promise<void>;
   http: Place;
   stop: () => void;
   onFailed?: Node['onFailed'];
@@ -70,14 +71,14 @@
 /** What all roles share: the operators' HTTP, draining by a sibling's word, closing in order. */
 const serve = async (x: Parts): Promise<Node> => {
   let draining: Promise<void> | undefined;
-  const drain = (): Promise<void> =>
+  const drain = (o?: Drain): Promise<void> =>
     (draining ??= (async () => {
       // Nothing new is taken from now on, even if the core cannot be told.
-      const done = x.drain();
+      const done = x.drain(o);
       await x.mooring.leave();
       await done;
     })());
-  const ops = signal.handler({ ...x, drain });
+  const ops = signal.handler({ ...x, drain: () => drain() });
   const own = x.callers;
   const http = await x.lens.net.serve(
     x.http,
@@ -201,7 +202,7 @@
       onLead: (mark) => here.moor?.beam.put('core', mark, {}),
       times: { keepers: 2 * o.tolerates + 1, towers: 2 * o.tolerates + 1, leastKeepers: o.leastKeepers },
       news: (): NewsResult => ({
-        workers: here.moor ? workersOf(here.moor.beam, lens.clock.now(), undefined) : [],
+        workers: here.moor ? workersOf(here.moor.beam, lens.clock.now()) : [],
         loads: Object.fromEntries((here.moor?.beam.all('load/') ?? []).map((x) => [x.name.slice(5), x.item.value])),
         duties: Object.fromEntries(Object.entries(voter.grants()).map(([k, g]) => [k, { by: g.by, mark: g.mark }])),
       }),
@@ -334,7 +335,7 @@
     let last = '';
     let lastPut = 0;
     const known = (worker: string): WorkerEntry | undefined =>
-      workersOf(m.beam, lens.clock.now(), undefined).find((w) => w.id === worker);
+      workersOf(m.beam, lens.clock.now()).find((w) => w.id === worker);
     const { read } = extra;
     const h = harbour.open({
       lens,
@@ -367,7 +368,7 @@
         ];
         return { ok: why.length === 0, why };
       },
-      counts: () => ({ ...commonCounts(p, m), workers: workersOf(m.beam, lens.clock.now(), undefined).length }),
+      counts: () => ({ ...commonCounts(p, m), workers: workersOf(m.beam, lens.clock.now()).length }),
       drain: async () => {
         leaving = true;
       },
@@ -395,10 +396,6 @@
       pipe: p,
       mooring: m,
       ...extra,
-      pilotId: () => {
-        const s = m.state();
-        return s ? order.live(s, 'pilot').find((x) => x.place === o.pilot)?.id : undefined;
-      },
     });
     return serve({
       lens,
@@ -410,7 +407,7 @@
       http: o.http,
       ready: f.ready,
       counts: () => ({ ...commonCounts(p, m), ...f.counts() }),
-      drain: () => f.drain(),
+      drain: (o) => f.drain(o),
       stop: () => f.close(),
       callers: f.handle,
       fairway: f,
