Calls no longer wait at an edge for the slots that are dealt to others; own zone first

Turns were held up to 1501 ms and forced: the tokens of a line of turns that wandered between edges counted at each of them, and what had ended by its caller's word counted until the next tick. Ruled out: processor time (the loop lagged 25 ms at most), claims (18 ms), charges (under 50 ms without a trouble).

--- a/packages/berth/src/index.ts
+++ b/packages/berth/src/index.ts
@@ -66,6 +66,8 @@
     const mine = load.empty();
     let theirs: Load[] = [];
     const dealt = fair.open({ me, now, lag: newsLag });
+    /** Among workers that are equally taken the choice goes round, or all edges would fill the same one. */
+    let rounds = 0;
     let edges = { all: [me], busy: [me] };
     const ownService = (cls: string): string | undefined => {
       const c = config?.classes[cls];
@@ -116,7 +118,15 @@
       // Once its siblings have had the time to show that they want none, their parts are free.
       const over = hungry >= newsLag ? edges.busy : edges.all;
       const recent = dealt.recent(w.id);
-      return recent < dealt.part(free + recent, over, (places.get(w.id) ?? 0) + turn());
+      const part = dealt.part(free + recent, over, (places.get(w.id) ?? 0) + turn());
+      return recent < Math.max(part, config?.limits.leastPart ?? 0);
+    };
+    /** All workers, beginning at another one each time where edges have a least part. */
+    const inTurn = (): WorkerEntry[] => {
+      const list = [...all.values()];
+      if (!config?.limits.leastPart || list.length === 0) return list;
+      const start = (rounds++ + edges.all.indexOf(me)) % list.length;
+      return [...list.slice(start), ...list.slice(0, start)];
     };
     return {
       workers: (list) => {
@@ -139,11 +149,13 @@
         if (!o.force && mustGiveWay(cls, own)) return null;
         let best: WorkerEntry | null = null;
         let least = Infinity;
-        for (const w of all.values()) {
+        const kept = (w: WorkerEntry): boolean => w.id === o.hint && (config?.limits.leastPart ?? 0) > 0;
+        for (const w of inTurn()) {
           if (groupOf(w) !== service || !usable(w, o.not)) continue;
           const s = runningAt(w.id);
           const free = room(s, cls, own);
-          if (!o.force && (free < 1 || !mayTake(w, free, o.hungry ?? 0))) continue;
+          // What its cache holds is worth more than an even part of its slots.
+          if (!o.force && (free < 1 || !(kept(w) || mayTake(w, free, o.hungry ?? 0)))) continue;
           if (w.id === o.hint && free >= 1) return w;
           const l = s.running / s.slots;
           if (l < least) {
--- a/packages/berth/test/berth.test.ts
+++ b/packages/berth/test/berth.test.ts
@@ -104,6 +104,37 @@
     24,
   );
 });
+test('with a least part no edge waits for how free slots are dealt, and equal workers are taken in turn', () => {
+  const c = chart.check({
+    classes: { call: { kind: 'app', weight: 1 } },
+    slots: { model: 1, app: 6 },
+    limits: { leastPart: 2 },
+  });
+  assert.ok(c.ok);
+  const names = ['e1', 'e2', 'e3', 'e4', 'e5', 'e6', 'e7', 'e8'];
+  const workers = ['a', 'b', 'c'].map((id, i) => ({ id, at: `1.1.1.${i}:1`, kind: 'app' as const, leaving: false }));
+  const opened = (me: string): ReturnType<typeof berth.open> => {
+    const b = berth.open(() => 0, me);
+    b.config(c.value);
+    b.workers(workers);
+    b.siblings(names.filter((n) => n !== me).map((id) => ({ id, load: { running: {}, waiting: {} } })));
+    return b;
+  };
+  const firsts = new Map<string, number>();
+  for (const me of names) {
+    const b = opened(me);
+    const first = b.pick('call', {})!.id;
+    firsts.set(first, (firsts.get(first) ?? 0) + 1);
+    assert.is(fill(b, 'call'), 6, 'two at each of three workers, whichever parts are dealt');
+  }
+  assert.is(firsts.size, 3, 'edges that see the same do not all begin at the same worker');
+  // What a worker's cache holds goes there as long as it has room, beyond any part.
+  const b = opened('e1');
+  for (let i = 0; i < 5; i++) b.take('a', 'call');
+  assert.is(b.pick('call', { hint: 'a' })!.id, 'a');
+  b.take('a', 'call');
+  assert.is.not(b.pick('call', { hint: 'a' })!.id, 'a');
+});
 test('the event reader gives the same pieces however the stream is cut up', () => {
   const text =
     'data: {"choices":[{"delta":{"content":"a"},"finish_reason":null}]}\n\n: comment\n\n' +
--- a/packages/chart/src/index.ts
+++ b/packages/chart/src/index.ts
@@ -30,6 +30,7 @@
   maxPrograms: 10_000,
   holdLimitMs: 1500,
   resumeOnRoom: true,
+  localPreference: 0,
 };
 const schedulerCodec = sealed(
   'scheduler',
@@ -47,6 +48,8 @@
     maxPrograms: whole(1, 1_000_000),
     holdLimitMs: whole(10, 1900),
     resumeOnRoom: t.boolean,
+    /** A program begins in its edge's zone unless a worker there is fuller by more than this part of its cache. */
+    localPreference: range(0, 1),
   },
   scheduler,
 );
@@ -122,6 +125,7 @@
   { connections: 256, tokensPerEvent: 1, model: false, cacheTokens: 0, deduplicates: false },
 );
 const limits = {
+  leastPart: 0,
   maxBodyBytes: 1 << 20,
   maxKeptBytes: 262_144,
   promptBytesPerToken: 1,
@@ -134,6 +138,8 @@
 const limitsCodec = sealed(
   'limits',
   {
+    /** How many free slots of a worker every edge may take within the news' delay, however they are dealt (§5.2). */
+    leastPart: whole(0, 64),
     maxBodyBytes: whole(1024, 8 << 20),
     maxKeptBytes: whole(1024, 4 << 20),
     promptBytesPerToken: range(0.25, 16),
--- a/packages/fairway/src/admission.ts
+++ b/packages/fairway/src/admission.ts
@@ -81,13 +81,14 @@
     maxPrograms: s.maxPrograms,
     holdLimit: us.ms(s.holdLimitMs),
     resumeOnRoom: s.resumeOnRoom,
+    localPreference: s.localPreference,
   };
 };
 
 export const admission = {
   /** `plain` leaves pilotage out, to measure against: every turn goes to the least loaded worker at once. */
   /** `changed` is told when what runs or waits at this edge has changed. */
-  open: (lens: Lens, me: string, changed: () => void, plain = false): Admission => {
+  open: (lens: Lens, me: string, changed: () => void, plain = false, zone = ''): Admission => {
     const { clock } = lens;
     const log = lens.log('pilotage');
     const st = pilotage.open(pilotage.defaults(), clock.now());
@@ -139,7 +140,12 @@
         kind: 'workers',
         list: list
           .filter((w) => w.kind === 'model')
-          .map((w) => ({ id: w.id, capacity: w.cacheTokens ?? capacity.get(w.id) ?? 0, eligible: !w.leaving })),
+          .map((w) => ({
+            id: w.id,
+            capacity: w.cacheTokens ?? capacity.get(w.id) ?? 0,
+            eligible: !w.leaving,
+            near: zone !== '' && w.zone === zone,
+          })),
       });
     const measure = async (some: WorkerEntry[]): Promise<void> => {
       await Promise.all(
--- a/packages/fairway/src/forward/forward.ts
+++ b/packages/fairway/src/forward/forward.ts
@@ -176,6 +176,9 @@
   }
 };
 
+/** The scheduler's unit: a program's line of turns (§4.3). */
+const lineOf = (t: { program: string; session: string }): string => `${t.program}/${t.session}`;
+
 /** Reserves the turn's most in the program's budget, before it is sent (§5.3). */
 const charge = async (r: Run): Promise<Next> => {
   const { x, p } = r;
@@ -195,6 +198,8 @@
     if (got.ok) {
       r.charged = account;
       r.hint = got.purse.worker;
+      // The line of turns was at another edge before: that one forgets it (§4.4).
+      if (r.hint !== null && !x.adm.knows(lineOf(turn))) x.tookOver(lineOf(turn));
       x.adm.sawCharge(x.lens.clock.now() - begun);
       return 'again';
     }
@@ -221,7 +226,7 @@
     {
       kind: 'arrive',
       turn: r.id,
-      program: `${turn.program}/${turn.session}`,
+      program: lineOf(turn),
       tokens: r.prompt,
       timeLeft: left(r),
       expected: x.adm.expected(p.cls),
--- a/packages/fairway/src/index.ts
+++ b/packages/fairway/src/index.ts
@@ -73,13 +73,13 @@
 };
 
 export const fairway = {
-  open: (o: { lens: Lens; pipe: Pipe; mooring: Mooring; plain?: boolean }): Fairway => {
+  open: (o: { lens: Lens; pipe: Pipe; mooring: Mooring; plain?: boolean; zone?: string }): Fairway => {
     const { lens, pipe, mooring } = o;
     const { clock } = lens;
     const log = lens.log('fairway');
     const me = mooring.id;
     const reports = report.open({ clock, pipe, mooring, me, adm: () => adm, uses: () => configMark });
-    const adm: Admission = admission.open(lens, me, reports.changed, o.plain);
+    const adm: Admission = admission.open(lens, me, reports.changed, o.plain, o.zone);
     const regs = registers.open({
       lens,
       pipe,
--- a/packages/pilotage/src/index.ts
+++ b/packages/pilotage/src/index.ts
@@ -19,6 +19,8 @@
   holdLimit: Us;
   /** Ours: also run the resume phase when a turn ends or room appears (§4.3). */
   resumeOnRoom: boolean;
+  /** Ours: by which part of its capacity a worker of the edge's zone may be fuller and still be chosen (§4.3). */
+  localPreference: number;
 };
 export type Phase = 'reasoning' | 'acting';
 export type Standing = 'active' | 'paused';
@@ -37,7 +39,8 @@
   endsAt: Us;
 };
 export type Held = { turn: string; program: string; since: Us; forceAt: Us };
-export type Worker = { id: string; capacity: number; eligible: boolean };
+/** `near`: in the zone of this edge. */
+export type Worker = { id: string; capacity: number; eligible: boolean; near?: boolean };
 /** What the siblings say: tokens of active programs by worker, how many hold paused ones, the smallest of those. */
 export type Sibling = { tokens: Map<string, number>; sharers: number; smallest: number };
 export type State = {
@@ -119,7 +122,7 @@
   return best?.w;
 };
 const leastUsed = (s: State, mine: Map<string, number>): string | null =>
-  pickLeast(s, (w) => utilization(s, w, mine))?.id ?? null;
+  pickLeast(s, (w) => utilization(s, w, mine) - (w.near ? s.options.localPreference : 0))?.id ?? null;
 const bySize = (a: Program, b: Program): number => a.tokens - b.tokens || (a.id < b.id ? -1 : 1);
 
 const release = (s: State, turn: string, p: Program, why: Why, waited: Us, now: Us): Effect => {
@@ -372,6 +375,7 @@
     maxPrograms: 10_000,
     holdLimit: us.ms(1500),
     resumeOnRoom: true,
+    localPreference: 0,
   }),
   open: (options: Options, now: Us): State => ({
     options,
@@ -429,7 +433,8 @@
         }
         case 'workers': {
           s.workers = new Map(e.list.map((w) => [w.id, w]));
-          return s.options.resumeOnRoom ? resume(s, now, new Set()) : [];
+          // Programs that have ended by what their caller said take no room until the next tick (§4.3).
+          return [...expire(s, now), ...(s.options.resumeOnRoom ? resume(s, now, new Set()) : [])];
         }
         case 'siblings':
           s.siblings = e.siblings;
--- a/packages/pilotage/test/pilotage.test.ts
+++ b/packages/pilotage/test/pilotage.test.ts
@@ -35,6 +35,40 @@
   );
 });
 
+test('a program begins in its own zone, unless that is fuller by more than the preference allows', () => {
+  const workers = [
+    { id: 'far', capacity: 1000, eligible: true, near: false },
+    { id: 'near', capacity: 1000, eligible: true, near: true },
+  ];
+  const placed = (localPreference: number): (string | null)[] => {
+    const s = open({ localPreference }, workers);
+    return ['p1', 'p2', 'p3'].map((p, i) => {
+      arrive(s, `t${i}`, p, 100, i);
+      return s.programs.get(p)!.worker;
+    });
+  };
+  assert.equal(placed(0), ['far', 'near', 'far']);
+  assert.equal(placed(0.15), ['near', 'near', 'far']);
+});
+test('a program that has ended by what its caller said takes no room from the next look at the workers on', () => {
+  const s = open();
+  const e = {
+    kind: 'arrive',
+    turn: 't1',
+    program: 'p1',
+    tokens: 900,
+    timeLeft: us.s(3),
+    expected: us.ms(300),
+  } as const;
+  pilotage.step(s, { ...e, silence: us.s(2), remaining: us.s(1) }, 0);
+  end(s, 't1', 900, us.ms(300));
+  const look = (now: number): Effect[] =>
+    pilotage.step(s, { kind: 'workers', list: [{ id: 'a', capacity: 1000, eligible: true }] }, now).effects;
+  assert.equal(look(us.ms(900)), []);
+  assert.equal(look(us.ms(1100)), [{ kind: 'ended', program: 'p1', why: 'idle' }]);
+  assert.equal(pilotage.totals(s).tokens, {});
+});
+
 test('pauses the smallest ACTING first, down to the target, and holds their next turns', () => {
   const s = open();
   for (const [id, n] of [
--- a/packages/thornsail/src/roles.ts
+++ b/packages/thornsail/src/roles.ts
@@ -395,6 +395,7 @@
       lens,
       pipe: p,
       mooring: m,
+      zone: o.zone,
       ...extra,
     });
     return serve({
