--- a/packages/fairway/src/forward/forward.ts
+++ b/packages/fairway/src/forward/forward.ts
@@ -176,6 +176,9 @@
   }
 };
 
+/** A budget that open turns hold is asked for again after so long, then twice as long each time, up to the second. */
+const [askOpenFirst, askOpenAtMost] = [us.ms(40), us.ms(200)];
+
 /** The scheduler's unit: a program's line of turns (§4.3). */
 const lineOf = (t: { program: string; session: string }): string => `${t.program}/${t.session}`;
 
@@ -186,6 +189,7 @@
   if (turn === null || turn.budget === null) return 'again';
   const account: Account = { program: turn.program, budget: turn.budget, keepSeconds: 0 };
   const begun = x.lens.clock.now();
+  let wait = askOpenFirst;
   for (;;) {
     let got: Charged;
     try {
@@ -210,7 +214,8 @@
     // Other turns of the program hold the rest of its budget: one may be settling right now.
     if (quiet(r) < us.ms(400)) return no(r, 429, 'turn_open', 'other turns of this program hold its budget', soon(r));
     if (r.say.gone()) return gone(r);
-    await time.sleep(x.lens.clock, us.ms(40 + x.lens.rand.int(40)));
+    await time.sleep(x.lens.clock, wait + x.lens.rand.int(wait));
+    wait = Math.min(2 * wait, askOpenAtMost);
   }
 };
 
