Ring, tree, roster and sum are kept until they change; what goes to several is encoded once

Cause: each beat sorted the roster by hash once for every node in it, each news item sorted it again, each comparison hashed every item, and what went to several siblings was encoded for each. Every id took a system call for its random bytes, every written socket an immediate of its own, every shape check a new list of fields.

--- a/packages/beam/src/index.ts
+++ b/packages/beam/src/index.ts
@@ -69,18 +69,24 @@
     const lasting = (name: string): boolean => !o.volatile?.(name);
     const digest = (): Digest =>
       Object.fromEntries([...items].filter(([k]) => lasting(k)).map(([k, v]) => [k, v.mark]));
-    /** A sum over the digest: two nodes that hold the same need not list it. */
+    /** A sum over the digest, kept until an item changes: two nodes that hold the same need not list it. */
+    let summed: number | undefined;
     const sum = (): number => {
+      if (summed !== undefined) return summed;
       let h = 0;
       for (const [k, v] of items) if (lasting(k)) h = (h + hash.of(`${k} ${v.mark}`)) >>> 0;
-      return h;
+      return (summed = h);
+    };
+    let placed: { relays: Relay[]; near: Place[] } | undefined;
+    const nearRelays = (): Place[] => {
+      const relays = o.relays();
+      if (placed?.relays !== relays) placed = { relays, near: tree.near(relays, o.self, T.arity).map((r) => r.place) };
+      return placed.near;
     };
     const near = (): Place[] => {
       const now = clock.now();
       for (const [p, at] of leaves) if (now - at > T.attach * 4) leaves.delete(p);
-      const up = o.leaf
-        ? [o.attachTo()].filter((p): p is Place => p !== undefined)
-        : tree.near(o.relays(), o.self, T.arity).map((r) => r.place);
+      const up = o.leaf ? [o.attachTo()].filter((p): p is Place => p !== undefined) : nearRelays();
       return [...new Set([...up, ...leaves.keys()])];
     };
     const take = (list: News[], from: Place | undefined, relay: boolean): void => {
@@ -89,16 +95,16 @@
         if ((cur && cur.mark >= n.mark) || !o.admits(n.name)) return false;
         if (o.sound && !o.sound(n)) return false;
         items.set(n.name, { mark: n.mark, value: n.value, at: clock.now() });
+        if (lasting(n.name)) summed = undefined;
         invariant.hold(!cur || cur.mark < n.mark, `news ${n.name} slipped back`);
         return true;
       });
       if (fresh.length === 0) return;
-      if (relay)
-        for (const p of near())
-          if (p !== from) {
-            c.relayed += 1;
-            pipe.tell(p, 'beam.news', fresh);
-          }
+      if (relay) {
+        const to = near().filter((p) => p !== from);
+        c.relayed += to.length;
+        pipe.tellAll(to, 'beam.news', fresh);
+      }
       for (const n of fresh) for (const w of watchers) w(n);
     };
     const newerThan = (d: Digest): News[] =>
@@ -171,6 +177,7 @@
       all: (prefix) => [...items].filter(([k]) => k.startsWith(prefix)).map(([name, item]) => ({ name, item })),
       drop: (keep) => {
         for (const k of items.keys()) if (!keep(k)) items.delete(k);
+        summed = undefined;
       },
       on: (fn) => void watchers.push(fn),
       hasLeaves: () => [...leaves.values()].some((at) => clock.now() - at <= T.attach * 4),
--- a/packages/fairway/src/report.ts
+++ b/packages/fairway/src/report.ts
@@ -60,7 +60,12 @@
       last = text;
       lastPut = now;
       mark += 1;
-      for (const n of live()) if (n.id !== me) pipe.tell(n.place, 'load', { from: me, mark, load } satisfies Message);
+      const others = live().filter((n) => n.id !== me);
+      pipe.tellAll(
+        others.map((n) => n.place),
+        'load',
+        { from: me, mark, load } satisfies Message,
+      );
       // What is in use is told by itself: it lasts, so it finds its way round a relay that hangs.
       // It is put again now and then, since whoever took this edge for dead has dropped it.
       if (now - lastNews >= newsEvery || load.uses > lastUses) beam.put(`uses/${me}`, load.uses, {});
--- a/packages/lens/src/real.ts
+++ b/packages/lens/src/real.ts
@@ -1,5 +1,5 @@
 // The real outside: the system clock, a data folder, TCP frames, polka and undici (§2.1).
-import { randomBytes } from 'node:crypto';
+import { randomFillSync } from 'node:crypto';
 import { promises as fs } from 'node:fs';
 import http from 'node:http';
 import net from 'node:net';
@@ -38,10 +38,24 @@
   },
 };
 
+/** Random bytes are fetched some thousands at a time: each fetch is a system call. */
+const randomPool = Buffer.allocUnsafeSlow(4096);
+let randomUsed = randomPool.length;
+const randomAt = (n: number): number => {
+  if (randomUsed + n > randomPool.length) {
+    randomFillSync(randomPool);
+    randomUsed = 0;
+  }
+  randomUsed += n;
+  return randomUsed - n;
+};
 const rand: Rand = {
-  next: () => randomBytes(4).readUInt32BE() / 4_294_967_296,
+  next: () => randomPool.readUInt32BE(randomAt(4)) / 4_294_967_296,
   int: (below) => Math.floor(rand.next() * below),
-  id: () => randomBytes(9).toString('hex'),
+  id: () => {
+    const at = randomAt(9);
+    return randomPool.toString('hex', at, at + 9);
+  },
 };
 
 /** The calls that a data folder needs; a test brings ones that fail. */
@@ -164,6 +178,10 @@
   new Promise((done, fail) => {
     const out = new Map<Place, net.Socket>();
     const inn = new Set<net.Socket>();
+    const corked: net.Socket[] = [];
+    const uncork = (): void => {
+      for (const s of corked.splice(0)) s.uncork();
+    };
     /** All that is written within one turn of the event loop goes out together. */
     const write = (s: net.Socket, text: string): void => {
       const size = Buffer.byteLength(text, 'utf8');
@@ -172,7 +190,7 @@
       b.write(text, 4, 'utf8');
       if (s.writableCorked === 0) {
         s.cork();
-        setImmediate(() => s.uncork());
+        if (corked.push(s) === 1) setImmediate(uncork);
       }
       s.write(b);
     };
--- a/packages/lookout/src/index.ts
+++ b/packages/lookout/src/index.ts
@@ -8,16 +8,18 @@
 export type LookoutTimes = { beat: Us; silent: Us; watchers: number };
 const times: LookoutTimes = { beat: us.ms(200), silent: us.ms(1000), watchers: 3 };
 
+const after = <T extends { id: string }>(r: T[], id: string, n: number): T[] => {
+  const i = r.findIndex((x) => x.id === id);
+  if (i < 0) return [];
+  return Array.from({ length: Math.min(n, r.length - 1) }, (_, k) => r[(i + 1 + k) % r.length]!);
+};
 export const ring = {
   sorted: <T extends { id: string }>(all: T[]): T[] =>
     [...all].sort((a, b) => hash.of(a.id) - hash.of(b.id) || (a.id < b.id ? -1 : 1)),
   /** The watchers of a node: the next few on the ring after it. */
-  watchers: <T extends { id: string }>(all: T[], id: string, n: number): T[] => {
-    const r = ring.sorted(all);
-    const i = r.findIndex((x) => x.id === id);
-    if (i < 0) return [];
-    return Array.from({ length: Math.min(n, r.length - 1) }, (_, k) => r[(i + 1 + k) % r.length]!);
-  },
+  watchers: <T extends { id: string }>(all: T[], id: string, n: number): T[] => after(ring.sorted(all), id, n),
+  /** Whom a node watches: the few before it. */
+  watched: <T extends { id: string }>(all: T[], id: string, n: number): T[] => after(ring.sorted(all).reverse(), id, n),
 };
 
 export const lookout = {
@@ -39,18 +41,26 @@
       const h = heard.get(id);
       if (!h || inc >= h.inc) heard.set(id, { inc, at: clock.now() });
     });
-    const watched = (): Sibling[] => {
-      const self = o.self();
-      const all = o.roster();
-      return all.filter((n) => n.id !== self.id && ring.watchers(all, n.id, T.watchers).some((w) => w.id === self.id));
+    type Around = { roster: Sibling[]; id: string; watchers: Sibling[]; watched: Sibling[] };
+    let known: Around | undefined;
+    /** Who watches this node and whom it watches: the few after and before it on the ring, until the roster changes. */
+    const around = (): Around => {
+      const { id } = o.self();
+      const roster = o.roster();
+      if (known?.roster === roster && known.id === id) return known;
+      const mine = new Set(ring.watched(roster, id, T.watchers).map((n) => n.id));
+      const watchers = ring.watchers(roster, id, T.watchers);
+      return (known = { roster, id, watchers, watched: roster.filter((n) => mine.has(n.id)) });
     };
     const round = (): void => {
       const now = clock.now();
       const self = o.self();
-      const all = o.roster();
-      for (const w of ring.watchers(all, self.id, T.watchers))
-        pipe.tell(w.place, 'beat', { id: self.id, inc: self.inc });
-      const mine = watched();
+      const { watchers, watched: mine } = around();
+      pipe.tellAll(
+        watchers.map((w) => w.place),
+        'beat',
+        { id: self.id, inc: self.inc },
+      );
       const frozen = now - lastRound > T.beat * 3;
       lastRound = now;
       const ids = new Set(mine.map((n) => n.id));
@@ -64,6 +74,6 @@
       if (suspects.length) o.report(suspects);
     };
     const stop = time.every(clock, T.beat, round);
-    return { suspects: () => suspects, watched: () => watched().map((n) => n.id), close: stop };
+    return { suspects: () => suspects, watched: () => around().watched.map((n) => n.id), close: stop };
   },
 };
--- a/packages/mooring/src/index.ts
+++ b/packages/mooring/src/index.ts
@@ -94,11 +94,20 @@
     let slept = 0;
     const marked = (): Marked<Ordered> | undefined => b.get('order')?.value as Marked<Ordered> | undefined;
     const state = (): Ordered | undefined => marked()?.state;
-    const live = (): NodeEntry[] => {
+    /** Made anew only with a new state: who gets the same list can tell that nothing has changed. */
+    let roster: { of: Ordered | undefined; live: NodeEntry[]; relays: NodeEntry[] } = {
+      of: undefined,
+      live: [],
+      relays: [],
+    };
+    const current = (): typeof roster => {
       const s = state();
-      return s ? order.live(s) : [];
+      if (s === roster.of) return roster;
+      const all = s ? order.live(s) : [];
+      return (roster = { of: s, live: all, relays: all.filter((n) => n.role !== 'front') });
     };
-    const relays = (): { id: string; place: Place }[] => live().filter((n) => n.role !== 'front');
+    const live = (): NodeEntry[] => current().live;
+    const relays = (): { id: string; place: Place }[] => current().relays;
     let besideBad = 0;
     const deadSince = new Map<string, Us>();
     /** News of a dead node is neither kept nor taken again from a sibling that has not heard (§3.5). */
@@ -141,8 +150,10 @@
       roster: live,
       report: (list) => {
         const v = marked();
-        for (const m of v?.members ?? [])
-          pipe.tell(m.at, 'core', { op: 'suspect', list: list.map((s) => ({ by: id, id: s.id, inc: s.inc })) });
+        pipe.tellAll(v?.members.map((m) => m.at) ?? [], 'core', {
+          op: 'suspect',
+          list: list.map((s) => ({ by: id, id: s.id, inc: s.inc })),
+        });
       },
     });
     const inRoster = (): boolean => {
--- a/packages/pipe/src/index.ts
+++ b/packages/pipe/src/index.ts
@@ -12,6 +12,8 @@
 export type Pipe = {
   at: Place;
   tell: (to: Place, kind: string, body: unknown) => void;
+  /** The same to several, encoded once. */
+  tellAll: (tos: readonly Place[], kind: string, body: unknown) => void;
   ask: <T>(to: Place, kind: string, body: unknown, timeLeft?: Us) => Promise<T>;
   /** The same ask to several, encoded once; one result for each, in their order. */
   askAll: <T>(tos: Place[], kind: string, body: unknown, timeLeft?: Us) => Promise<T>[];
@@ -135,12 +137,17 @@
       };
       return tos.map(one);
     };
+    const tellAll = (tos: readonly Place[], kind: string, body: unknown): void => {
+      if (closed) return;
+      let text: string | undefined;
+      for (const to of tos)
+        if (to === frames.at) void Promise.resolve().then(() => handlers.get(kind)?.(parse(stringify(body)), to));
+        else sendText(to, (text ??= encode({ k: 'tell', t: kind, n: '', b: body })));
+    };
     return {
       at: frames.at,
-      tell: (to, kind, body) => {
-        if (to === frames.at) void Promise.resolve().then(() => handlers.get(kind)?.(parse(stringify(body)), to));
-        else send(to, { k: 'tell', t: kind, n: '', b: body });
-      },
+      tell: (to, kind, body) => tellAll([to], kind, body),
+      tellAll,
       ask: <T>(to: Place, kind: string, body: unknown, timeLeft?: Us) => askAll<T>([to], kind, body, timeLeft)[0]!,
       askAll,
       on: (kind, ok, fn) =>
--- a/packages/pipe/src/shape.ts
+++ b/packages/pipe/src/shape.ts
@@ -29,10 +29,10 @@
     (u) =>
       obj(u) && Object.values(u).every(s),
   /** At least these fields. */
-  has:
-    (fields: Record<string, Shape>): Shape =>
-    (u) =>
-      obj(u) && Object.entries(fields).every(([k, s]) => s(u[k])),
+  has: (fields: Record<string, Shape>): Shape => {
+    const all = Object.entries(fields);
+    return (u) => obj(u) && all.every(([k, s]) => s(u[k]));
+  },
   either:
     (...all: Shape[]): Shape =>
     (u) =>
