Registers: a key that is likely new is opened in one round, if all keepers take it

Cause: a new key costs two rounds, each with a sync at every keeper; most keys are written once (a kept turn, a claim).

An opening is a fast ballot: accepted without a prepare where a keeper holds nothing, and decided only by all members. Its ballot is 0, below every prepared one and of its try alone. Reads believe it if all members show it, else it is settled. A member that does not answer holds up one opening for 1.5 usual accepts (12 ms at least), then none is tried for 0.5 s.

Ruled out: openings as high as the floor (an opening at one keeper hides what the two others have); the name of the proposer alone (two tries of one proposer look the same); settling all openings after a change of group (100 000 ballots before the next change may begin).

A change of a new key: 6 frames and one round where there were 12 and two.

--- a/packages/fog/test/registers.test.ts
+++ b/packages/fog/test/registers.test.ts
@@ -1,9 +1,9 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { registers, store, sweep, type Group, type Registers, type Store, type SweepResult } from '@thornsail/keeper';
-import { fault, invariant, us } from '@thornsail/lens';
+import { fault, invariant, time, us } from '@thornsail/lens';
 import { logbook } from '@thornsail/logbook';
-import { pipe } from '@thornsail/pipe';
+import { pipe, type Pipe } from '@thornsail/pipe';
 import { world, type Host } from '@thornsail/fog';
 
 type Op = {
@@ -52,8 +52,12 @@
 
 const history = async (
   seed: number,
-  o: { faults: boolean; regroup: boolean; mixed?: boolean },
-): Promise<{ problems: string[]; done: number; unknown: number; reads: number }> => {
+  o: { faults: boolean; regroup: boolean; mixed?: boolean; fresh?: boolean },
+): Promise<{ problems: string[]; done: number; unknown: number; reads: number; opened: number }> => {
+  /** With `fresh`, new keys that two or three edges come upon at about the same time. */
+  const keys = o.fresh ? 24 : 3;
+  /** Nothing is opened for a while after a keeper did not answer. */
+  const span = us.s(o.fresh ? 12 : 3);
   invariant.clear();
   // With faults the disk is slower than the network, or a missing sync would never show.
   const w = world.open({
@@ -81,11 +85,13 @@
   const lag = [0, 1, 2].map((e) => (e === 0 || !o.regroup ? 0 : w.rand.int(us.s(3))));
   const edges: Registers[] = [];
   const hosts: Host[] = [];
+  const pipes: Pipe[] = [];
   for (let e = 0; e < 3; e++) {
     const h = w.host(`127.0.1.${e}`, `z${e + 1}`);
     hosts.push(h);
     const lens = w.lens(h);
     void pipe.open(lens, `127.0.1.${e}:7101`).then((p) => {
+      pipes[e] = p;
       const near = (id: string): number => (o.mixed && id === `k${e + 1}` ? 0 : 1);
       edges[e] = registers.open({
         lens,
@@ -113,10 +119,17 @@
         });
       }
   };
+  if (o.fresh)
+    for (const e of edges)
+      void e!
+        .change('warm', (_v, x) => ({ held: { value: 1, until: x.max + us.s(9999) }, result: 0 }), us.ms(40))
+        .catch(() => undefined);
+  const pace = span / keys;
   for (let i = 0; i < 60; i++) {
     const e = r.int(3);
-    const key = `key${r.int(3)}`;
-    w.at(us.ms(50) + r.int(us.s(3)), () => {
+    const no = o.fresh ? i % keys : r.int(3);
+    const key = `key${no}`;
+    w.at(us.ms(50) + (o.fresh ? no * pace + r.int(us.ms(8)) : r.int(span)), () => {
       const op: Op = { id: `a${i}`, key, from: w.now(), to: Infinity, saw: null, ok: false };
       ops.push(op);
       open += 1;
@@ -127,6 +140,7 @@
           return { held: { value: [...list, op.id], until: x.max + us.s(9999) }, result: list };
         },
         us.ms(700),
+        { fresh: o.fresh === true },
       )
         .then(
           (saw) => {
@@ -146,7 +160,7 @@
   }
   // Reads of several keys, reservations some time before a change, and extensions in between.
   const wall = w.lens(w.host('127.0.8.8', 'z1')).clock.wall;
-  const all = [0, 1, 2].map((k) => `key${k}`);
+  const all = Array.from({ length: keys }, (_, k) => `key${k}`);
   const look = (edge: Registers, some: string[]): void => {
     const from = w.now();
     edge.readMany(some, us.ms(700)).then(
@@ -161,8 +175,8 @@
   };
   if (o.mixed)
     for (let i = 0; i < 60; i++) {
-      const [e, what, key] = [r.int(3), r.int(4), all[r.int(3)]!];
-      w.at(us.ms(50) + r.int(us.s(3)), () => {
+      const [e, what, key] = [r.int(3), r.int(4), all[r.int(keys)]!];
+      w.at(us.ms(50) + r.int(span), () => {
         const edge = edges[e]!;
         if (what === 0) void edge.reserve(key, us.ms(500)).catch(() => undefined);
         else if (what === 1) void edge.extend(all, wall() + us.s(9999 + i), us.ms(500)).catch(() => undefined);
@@ -172,11 +186,11 @@
   // Every other history has a network that loses, doubles and reorders.
   if (o.faults && seed % 2 === 0) {
     w.rough(0.05, us.ms(10));
-    w.at(us.s(5), () => w.rough(0, 0));
+    w.at(span + us.s(2), () => w.rough(0, 0));
   }
   if (o.faults)
     for (let i = 0; i < 5; i++)
-      w.at(r.int(us.s(3)), () => {
+      w.at(r.int(span), () => {
         const k = places[r.int(3)]!;
         if (!k.host.alive) return;
         if (r.int(3) === 0) {
@@ -190,13 +204,41 @@
           void boot(k.host, k.at, k.id);
         });
       });
-  if (o.regroup) {
+  const { clock } = w.lens(w.host('127.0.8.9', 'z1'));
+  const pass = (all: boolean): Promise<SweepResult> =>
+    sweep.pass({ clock, pipe: pipes[0]!, registers: edges[0]!, group, all, pause: 0, still: () => true });
+  if (o.fresh) {
+    // The group is swept, filled and then changed again: 4 joins, 1 leaves, comes back with its old disk, 2 leaves.
+    const groups = o.regroup
+      ? [
+          [1, 2, 3, 4],
+          [2, 3, 4],
+          [1, 2, 3, 4],
+          [1, 3, 4],
+          [1, 3],
+          [1, 3, 2],
+        ]
+      : [];
+    const sweeps = async (): Promise<void> => {
+      let [mark, swept] = [1, 1];
+      for (let i = 0; w.now() < span + us.s(2); i++) {
+        const r = await pass(swept !== mark);
+        if (r.complete) swept = mark;
+        const next = groups[mark - 1];
+        if (r.complete && next && i % 3 === 2) group = { mark: ++mark, members: members(next) };
+        await time.sleep(clock, us.ms(60));
+      }
+    };
+    w.at(us.ms(100), () => void sweeps());
+    if (o.regroup && seed % 3 > 0) w.rough(0.03, us.ms(8));
+    w.at(span + us.s(2), () => w.rough(0, 0));
+  } else if (o.regroup) {
     // Add k4, settle every key under the new mark, take k1 out, settle again.
     const step = async (): Promise<void> => {
       group = { mark: 2, members: members([1, 2, 3, 4]) };
-      for (const k of [0, 1, 2]) await edges[0]!.settleKey(`key${k}`, us.s(3));
+      for (const k of all) await edges[0]!.settleKey(k, us.s(3));
       group = { mark: 3, members: members([2, 3, 4]) };
-      for (const k of [0, 1, 2]) await edges[0]!.settleKey(`key${k}`, us.s(3));
+      for (const k of all) await edges[0]!.settleKey(k, us.s(3));
       w.kill(places[0]!.host, 'disk');
     };
     w.at(us.ms(900), () => void step());
@@ -204,18 +246,19 @@
     const heal = [w.cut([hosts[1]!], [places[2]!.host]), w.cut([hosts[2]!], [places[1]!.host])];
     w.at(us.s(5), () => heal.forEach((h) => h()));
   }
-  await w.run(us.s(6));
+  await w.run(span + us.s(3));
   const last = new Map<string, string[]>();
-  for (let k = 0; k < 3; k++)
-    void edges[r.int(3)]!.read(`key${k}`, us.s(4)).then((v) => last.set(`key${k}`, (v as string[] | undefined) ?? []));
-  await w.run(us.s(11));
+  for (const k of all)
+    void edges[r.int(3)]!.read(k, us.s(4)).then((v) => last.set(k, (v as string[] | undefined) ?? []));
+  await w.run(span + us.s(8));
   assert.is(open, 0);
-  assert.is(last.size, 3, 'the registers could not be read at the end');
+  assert.is(last.size, keys, 'the registers could not be read at the end');
   return {
     problems: [...check(ops, last), ...invariant.breaches()],
     done: ops.filter((x) => x.ok && !x.reads).length,
     unknown: ops.filter((x) => !x.ok).length,
     reads: ops.filter((x) => x.reads).length,
+    opened: edges.reduce((a, e) => a + e!.counts().opened, 0),
   };
 };
 
@@ -266,6 +309,25 @@
     assert.ok(reads > 24 * 30 && done > 24 * 20, `${reads} reads, ${done} appends`);
   }
 });
+test('openings of new keys from several edges at once, with lost power, freezes and changes of the group', async () => {
+  for (const [faults, regroup, mixed] of [
+    [false, false, false],
+    [false, false, true],
+    [true, false, true],
+    [false, true, true],
+  ] as const) {
+    let opened = 0;
+    let done = 0;
+    for (let s = 1; s <= 40; s++) {
+      const h = await history(s, { faults, regroup, mixed, fresh: true });
+      assert.equal(h.problems, [], `seed ${s}, faults ${faults}, regroup ${regroup}`);
+      opened += h.opened;
+      done += h.done;
+    }
+    assert.ok(done > 40 * (faults ? 20 : 30), `${done} changes`);
+    assert.ok(opened > 40 * (faults || regroup ? 1 : 5), `${opened} openings`);
+  }
+});
 test('the checker itself finds a read that is behind, ahead, or of what never was', () => {
   const op = (id: string, from: number, to: number, saw: string[], reads = false): Op => ({
     ...{ id, key: 'k', from, to, saw, ok: true },
--- a/packages/keeper/src/members.ts
+++ b/packages/keeper/src/members.ts
@@ -2,6 +2,7 @@
 // and an answer as soon as a majority has given it.
 import { fault, hash, us, type Lens, type Us } from '@thornsail/lens';
 import type { Pipe } from '@thornsail/pipe';
+import type { Walls } from './known.js';
 import { ballot, type Ballot, type Group, type Keep, type Refusal, type Reply } from './messages.js';
 
 export const majority = (n: number): number => Math.floor(n / 2) + 1;
@@ -31,8 +32,20 @@
     left: Us,
     o?: { only?: Keep[]; whole?: object },
   ) => Asked<T>[];
-  /** Resolves with a majority; if `enough` wants more, up to `patience` later. */
-  gather: <T>(asked: Asked<T>[], enough?: (ok: Good<T>[], failed: Keep[]) => boolean) => Promise<Round<T>>;
+  /** Resolves with a majority; if `enough` wants more, up to `patience` later, or as `within` says of a majority. */
+  gather: <T>(
+    asked: Asked<T>[],
+    enough?: (ok: Good<T>[], failed: Keep[]) => boolean,
+    within?: (ok: Good<T>[]) => Us,
+  ) => Promise<Round<T>>;
+  /** How long the last member is waited for where all are needed (§6.2). */
+  lastWithin: (g: Group) => Us;
+  /** How long a majority took to accept. */
+  took: (t: Us) => void;
+  /** Whether every member has answered in time of late. */
+  well: (g: Group) => boolean;
+  /** The walls of a majority, by what it said last; undefined if that was too long ago. */
+  walls: (g: Group) => Walls | undefined;
   /** Members by nearness, for this key; those that were slow just now come last. */
   near: (g: Group, key: string) => Keep[];
   /** No ballot up to this one will do for a key that is not there (§6.4). */
@@ -40,9 +53,17 @@
 };
 
 /** What a majority is kept waiting for one more answer that would save a round. */
-const patience = us.ms(3);
+export const patience = us.ms(3);
+/** How long the last member is waited for where all are needed, for each usual accept, and at least (§6.2). */
+const lastFor = { accepts: 1.5, least: us.ms(12), most: us.ms(80) };
 /** How long one that was slow is not asked for values. */
 const slowFor = us.s(2);
+/** How long nothing is opened after one did not answer: each try costs the time that it is waited for. */
+const illFor = us.ms(500);
+/** And after one said that it is being filled. */
+const fillingFor = us.s(2);
+/** For how long a keeper's word on its wall is carried on by this node's own clock. */
+const wallsFor = us.s(30);
 
 export const members = {
   open: (o: {
@@ -59,6 +80,9 @@
     /** The mark under which a keeper said that it knows the group. */
     const knows = new Map<string, number>();
     const slow = new Map<string, Us>();
+    /** Those that did not answer at all, or held up an opening. */
+    const ill = new Map<string, Us>();
+    const wallOf = new Map<string, { wall: Us; at: Us }>();
 
     const whole = async <T>(g: Group, k: Keep, kind: string, body: object, left: Us): Promise<Reply<T>> => {
       const r = await pipe.ask<Reply<T>>(k.at, kind, { to: k.id, group: g, ...body }, left);
@@ -99,9 +123,14 @@
       }
       return out;
     };
+    /** How long a majority usually takes to accept. */
+    let usual: Us = 0;
+    const well: Members['well'] = (g) => g.members.every((k) => (ill.get(k.id) ?? 0) <= clock.now());
+
     const gather: Members['gather'] = <T>(
       asked: Asked<T>[],
       enough: (ok: Good<T>[], failed: Keep[]) => boolean = () => true,
+      within: (ok: Good<T>[]) => Us = () => patience,
     ): Promise<Round<T>> =>
       new Promise((done) => {
         const ok: Good<T>[] = [];
@@ -118,16 +147,21 @@
           waits?.();
           done({ ok: [...ok], no: [...no], late: late() });
         };
+        const waitFor = (t: Us): (() => void) =>
+          clock.tick(t, () => {
+            for (const a of asked)
+              if (!ok.some((x) => x.from === a.from)) {
+                slow.set(a.from.id, clock.now() + slowFor);
+                if (t > patience) ill.set(a.from.id, clock.now() + illFor);
+              }
+            say();
+          });
         const check = (): void => {
           if (said) return;
           if (open === 0 || ok.length + open < need) say();
           else if (ok.length < need) return;
           else if (enough(ok, failed)) say();
-          else
-            waits ??= clock.tick(patience, () => {
-              for (const a of asked) if (!ok.some((x) => x.from === a.from)) slow.set(a.from.id, clock.now() + slowFor);
-              say();
-            });
+          else waits ??= waitFor(within(ok));
         };
         const one = async (a: Asked<T>): Promise<Good<T> | undefined> => {
           try {
@@ -135,15 +169,18 @@
             open -= 1;
             if (r.ok) {
               floor = Math.max(floor, r.floor ?? 0);
+              wallOf.set(a.from.id, { wall: r.wall, at: clock.now() });
               ok.push({ from: a.from, reply: r });
               return { from: a.from, reply: r };
             }
             no.push(r);
             failed.push(a.from);
+            if (r.why === 'filling') ill.set(a.from.id, clock.now() + fillingFor);
           } catch {
             open -= 1;
             failed.push(a.from);
             slow.set(a.from.id, clock.now() + slowFor);
+            ill.set(a.from.id, clock.now() + illFor);
           } finally {
             check();
           }
@@ -177,6 +214,17 @@
         );
       },
       floor: () => floor,
+      well,
+      lastWithin: (g) =>
+        well(g) ? Math.min(lastFor.most, Math.max(lastFor.least, Math.round(usual * lastFor.accepts))) : patience,
+      took: (t) => void (usual += (t - usual) / 8),
+      walls: (g) => {
+        const now = clock.now();
+        const all = g.members
+          .map((k) => wallOf.get(k.id))
+          .flatMap((x) => (x && now - x.at < wallsFor ? [x.wall + now - x.at] : []));
+        return all.length < majority(g.members.length) ? undefined : { min: Math.min(...all), max: Math.max(...all) };
+      },
     };
   },
 };
--- a/packages/keeper/src/messages.ts
+++ b/packages/keeper/src/messages.ts
@@ -3,10 +3,15 @@
 import { shape } from '@thornsail/pipe';
 
 export type Ballot = [n: number, by: string];
+/** Openings were accepted without a prepare, so only all members together decide them (§6.2). */
+const openingMark = '!';
 export const ballot = {
   zero: [0, ''] as Ballot,
   cmp: (a: Ballot, b: Ballot): number => a[0] - b[0] || (a[1] < b[1] ? -1 : a[1] > b[1] ? 1 : 0),
   max: (a: Ballot, b: Ballot): Ballot => (ballot.cmp(a, b) >= 0 ? a : b),
+  /** Below every ballot that was prepared, and of one try alone: two of them are never the same. */
+  opening: (op: string): Ballot => [0, openingMark + op],
+  isOpening: (b: Ballot): boolean => b[0] === 0 && b[1].startsWith(openingMark),
   same: (a: Ballot, b: Ballot): boolean => a[0] === b[0] && a[1] === b[1],
 };
 /**
@@ -34,6 +39,8 @@
   extended?: Us;
   lean?: boolean;
 };
+/** `ballot` only has to be above the floor: what is accepted is the opening of `op`. */
+export type OpenAsk = Base & { key: string; op: string; ballot: Ballot; held: Held; next: Ballot };
 export type ReadAsk = Base & { key?: string; keys?: string[]; bare?: boolean };
 export type MendAsk = Base & { key: string; ballot: Ballot; held: Held | null; extended?: Us };
 export type ExtendAsk = Base & { keys: string[]; until: Us };
@@ -45,7 +52,9 @@
   | { ok: false; why: 'ballot'; promised: Ballot }
   | { ok: false; why: 'group'; group: Group }
   /** `unknown`: this keeper does not know that mark, and needs the whole group. */
-  | { ok: false; why: 'identity' | 'unknown' };
+  | { ok: false; why: 'identity' | 'unknown' }
+  /** This keeper may lack what was opened before it joined (§6.5). */
+  | { ok: false; why: 'filling' };
 /** `lean`: this keeper knows the group now, and its mark is enough. `floor`: see the store's own (§6.4). */
 export type Reply<T> = ({ ok: true; wall: Us; lean?: boolean; floor?: number } & T) | Refusal;
 export type PrepareReply = { copy: Seen };
@@ -81,6 +90,8 @@
 export const isAsk = {
   prepare: shape.has({ ...keyed, ballot: shape.ballot, has: shape.maybe(shape.ballot) }),
   accept: shape.has({ ...keyed, ...value, next: shape.maybe(shape.ballot) }),
+  open: shape.has({ ...keyed, op: shape.text, ballot: shape.ballot, held: isHeld, next: shape.ballot }),
+  filled: shape.has(base),
   read: shape.either(shape.has(keyed), shape.has({ ...base, keys: shape.list(shape.text) })),
   mend: shape.has({ ...keyed, ...value }),
   extend: shape.has({ ...base, keys: shape.list(shape.text), until: shape.num }),
--- a/packages/keeper/src/proposer.ts
+++ b/packages/keeper/src/proposer.ts
@@ -2,7 +2,7 @@
 import { fault, hash, time, us, type Lens, type Us } from '@thornsail/lens';
 import type { Pipe } from '@thornsail/pipe';
 import { remembered, type Remembered, type Walls } from './known.js';
-import type { Asked, Good, Members } from './members.js';
+import { majority, type Asked, type Good, type Members } from './members.js';
 import {
   ballot,
   untilOf,
@@ -24,6 +24,8 @@
   reserved: number;
   extended: number;
   fetched: number;
+  openings: number;
+  opened: number;
 };
 export type Proposer = {
   lens: Lens;
@@ -40,7 +42,19 @@
   members: o.members,
   cache: remembered(),
   me: hash.of(o.by).toString(36) + o.lens.rand.id().slice(0, 10),
-  c: { rounds: 0, quick: 0, conflicts: 0, mended: 0, reads: 0, done: 0, reserved: 0, extended: 0, fetched: 0 },
+  c: {
+    rounds: 0,
+    quick: 0,
+    conflicts: 0,
+    mended: 0,
+    reads: 0,
+    done: 0,
+    reserved: 0,
+    extended: 0,
+    fetched: 0,
+    openings: 0,
+    opened: 0,
+  },
 });
 
 const askWithin = us.ms(400);
@@ -96,6 +110,14 @@
   };
 };
 
+/** Whether what a majority shows is settled: an opening is only once all members show it (§6.2). */
+export const decided = (g: Group, a: Agreed): boolean =>
+  a.same >= (ballot.isOpening(a.accepted) ? g.members.length : majority(g.members.length));
+
+/** An opening that a majority shows: the last answer likely saves settling it. */
+export const lacksLast = (g: Group, a: Agreed): boolean =>
+  ballot.isOpening(a.accepted) && a.same >= majority(g.members.length) && !decided(g, a);
+
 export type ReadMany = { copies: Seen[] };
 /** Asks for the copies of several keys; the values of members for which `bare` holds are left out. */
 export const askCopies = (
--- a/packages/keeper/src/read.ts
+++ b/packages/keeper/src/read.ts
@@ -1,9 +1,9 @@
 // Reads (§6.2): the value comes from the nearest keeper, from the others only its ballot; a majority with the same
 // ballot is enough, else the value is settled by a ballot.
 import { us, type Us } from '@thornsail/lens';
-import { majority, type Good } from './members.js';
+import { majority, patience, type Good } from './members.js';
 import { ballot, keptUntil, type Ballot, type Group, type Keep, type Seen } from './messages.js';
-import { agreed, askCopies, type Agreed, type Proposer, type ReadMany } from './proposer.js';
+import { agreed, askCopies, decided, lacksLast, type Agreed, type Proposer, type ReadMany } from './proposer.js';
 
 const askWithin = us.ms(400);
 const expired = (a: Agreed): boolean => keptUntil(a.until, a.extended) <= a.walls.min;
@@ -76,7 +76,8 @@
       // A keeper that is just syncing a change answers with what was before it: the third one decides.
       (ok, failed) =>
         (failed.includes(nearest!) || ok.some((y) => y.from === nearest)) &&
-        keys.every((_, i) => agreed(ok, seenOf(i)).same >= need),
+        keys.every((_, i) => decided(g, agreed(ok, seenOf(i)))),
+      (ok) => (keys.some((_, i) => lacksLast(g, agreed(ok, seenOf(i)))) ? x.members.lastWithin(g) : patience),
     );
     x.members.learn(r.no);
     if (r.ok.length < need) return Promise.all(keys.map((key) => settle(key, end - clock.now())));
@@ -86,10 +87,10 @@
       const extended = r.ok.filter((y) => (seenOf(i)(y).extended ?? 0) >= a.extended).length;
       return { key, i, a, from, extended };
     });
-    const lacking = all.filter((l) => l.a.same >= need && l.a.held === undefined && !expired(l.a));
+    const lacking = all.filter((l) => decided(g, l.a) && l.a.held === undefined && !expired(l.a));
     await fetchValues(x, g, lacking, Math.min(Math.max(0, end - clock.now()), askWithin));
     const conclude = async ({ key, i, a, extended }: (typeof all)[number]): Promise<unknown> => {
-      if (a.same < need) return settle(key, end - clock.now());
+      if (!decided(g, a)) return settle(key, end - clock.now());
       const copies = r.late.then((l) => l.map((y) => ({ from: y.from, accepted: y.reply.copies[i]!.accepted })));
       mend(x, g, key, a, copies);
       if (a.held === null || expired(a)) return undefined;
--- a/packages/keeper/src/registers.ts
+++ b/packages/keeper/src/registers.ts
@@ -14,7 +14,7 @@
   type Held,
 } from './messages.js';
 import type { PrepareReply } from './messages.js';
-import { agreed, askCopies, attempts, proposer, type Agreed, type Counts } from './proposer.js';
+import { agreed, askCopies, attempts, decided, proposer, type Agreed, type Counts } from './proposer.js';
 import { fetchValues, hangsOnExtension, mend, reader } from './read.js';
 
 export type { Walls } from './known.js';
@@ -29,9 +29,10 @@
   readMany: (keys: string[], timeLeft?: Us) => Promise<unknown[]>;
   /**
    * Compare-and-set by function: `fn` sees the agreed value and gives the next. It may be called more than once,
-   * but takes effect once: a round whose accepts went to a minority is recognised if its value lives on.
+   * but takes effect once: a round whose accepts went to a minority is recognised if its value lives on. `fresh`: there
+   * is likely nothing under this key yet; then one round is enough, if all keepers answer in time (§6.2).
    */
-  change: <R>(key: string, fn: Fn<R>, timeLeft?: Us) => Promise<R>;
+  change: <R>(key: string, fn: Fn<R>, timeLeft?: Us, o?: { fresh?: boolean }) => Promise<R>;
   /** Runs the prepare round ahead of time: the next `change` of this key here takes one round, if no other comes. */
   reserve: (key: string, timeLeft?: Us) => Promise<void>;
   /**
@@ -50,6 +51,8 @@
 /** How many changes a value remembers: more than can be in flight for one key at once. */
 const opsKept = 12;
 const askWithin = us.ms(400);
+type How = { force?: boolean; fresh?: boolean };
+type Done<R> = { result: R } | undefined;
 const untilAll = (h: Held | null, extended: Us): Us => keptUntil(h?.until ?? 0, extended);
 
 export const registers = {
@@ -100,7 +103,7 @@
       }
       if (a.held === undefined) return lost(top, [], mine);
       const copies = r.late.then((l) => l.map((y) => ({ from: y.from, accepted: y.reply.copy.accepted })));
-      if (a.same >= majority(g.members.length)) mend(x, g, key, a, copies);
+      if (decided(g, a)) mend(x, g, key, a, copies);
       return { mine, held: a.held, extended: a.extended, walls: a.walls, a };
     };
     /** What was promised to this proposer before: no prepare is needed. */
@@ -142,7 +145,9 @@
       const extended = p.extended > 0 ? { extended: p.extended } : {};
       const body = { key, ballot: p.mine, held: put, next, ...extended, lean: true };
       const left = Math.min(end - clock.now() + us.ms(1), askWithin);
+      const begun = clock.now();
       const r = await x.members.gather(x.members.ask<AcceptReply>(g, 'reg.accept', () => body, left));
+      x.members.took(clock.now() - begun);
       if (r.ok.length < majority(g.members.length)) {
         unpromise(key);
         lost(top, r.no, p.mine);
@@ -154,12 +159,51 @@
       c.done += 1;
       return true;
     };
-    const change = <R>(key: string, fn: Fn<R>, timeLeft: Us = us.s(2), force = false): Promise<R> =>
+    /** An opening: accepted by all members without a prepare, as nothing was there; else undefined. */
+    const opened = async <R>(
+      g: Group,
+      key: string,
+      fn: Fn<R>,
+      tried: Map<string, R>,
+      top: Top,
+      left: Us,
+    ): Promise<Done<R>> => {
+      const walls = x.members.walls(g);
+      if (!walls || !x.members.well(g)) return undefined;
+      const r = fn(undefined, walls, 0);
+      if ('keep' in r || r.held === null) return undefined;
+      const op = `${me}.${(++opNo).toString(36)}`;
+      const mine = ballot.opening(op);
+      const above: Ballot = [x.members.floor() + 1, me];
+      const next: Ballot = [above[0] + 1, me];
+      tried.set(op, r.result);
+      const put: Held = { ...r.held, ops: [op] };
+      const body = { key, op, ballot: above, held: put, next };
+      c.openings += 1;
+      const all = await x.members.gather(
+        x.members.ask<AcceptReply>(g, 'reg.open', () => body, left),
+        (ok, failed) => failed.length > 0 || ok.length === g.members.length,
+        () => x.members.lastWithin(g),
+      );
+      top.ballot = ballot.max(next, x.members.learn(all.no));
+      if (all.ok.length < g.members.length) return undefined;
+      const said = all.ok.map((y) => y.reply.wall);
+      const at = { min: Math.min(...said), max: Math.max(...said) };
+      know(g, key, { mine, held: put, extended: 0, walls: at }, mine, next);
+      c.opened += 1;
+      c.done += 1;
+      return { result: r.result };
+    };
+    const change = <R>(key: string, fn: Fn<R>, timeLeft: Us = us.s(2), o: How = {}): Promise<R> =>
       short(key, async () => {
         const end = clock.now() + timeLeft;
         const top: Top = { ballot: ballot.zero };
         const tried = new Map<string, R>();
+        const { force = false, fresh = false } = o;
         return attempts<R>(x, { step: 'register.change', what: key, end }, async (g, round, left) => {
+          const first = round === 0 && fresh && !force && !cache.get(key);
+          const done = first ? await opened(g, key, fn, tried, top, left) : undefined;
+          if (done) return done;
           const quick = round === 0 && !force ? promised(cache.get(key), g) : undefined;
           if (quick) c.quick += 1;
           const p = quick ?? (await prepare(g, key, top, left));
@@ -178,7 +222,7 @@
             unpromise(key);
             return 'again';
           }
-          if ('keep' in r && !force && p.a!.same >= majority(g.members.length) && !hangsOnExtension(p.a!)) {
+          if ('keep' in r && !force && decided(g, p.a!) && !hangsOnExtension(p.a!)) {
             // A majority has it already.
             know(g, key, p, p.a!.accepted, p.mine);
             return { result: r.result };
@@ -193,7 +237,7 @@
         });
       });
     const settle = (key: string, timeLeft?: Us): Promise<unknown> =>
-      change<unknown>(key, (value) => ({ keep: true, result: value }), timeLeft, true);
+      change<unknown>(key, (value) => ({ keep: true, result: value }), timeLeft, { force: true });
     const readMany = reader(x, settle);
     const reserve = (key: string, timeLeft: Us = us.s(2)): Promise<void> =>
       short(key, () => {
@@ -246,7 +290,7 @@
       return keys.filter((_, i) => missing[i]);
     };
     return {
-      change: (key, fn, timeLeft) => change(key, fn, timeLeft),
+      change: (key, fn, timeLeft, how = {}) => change(key, fn, timeLeft, how.fresh ? { fresh: true } : {}),
       reserve,
       extend,
       settleKey: async (key, timeLeft) => void (await settle(key, timeLeft)),
--- a/packages/keeper/src/store.ts
+++ b/packages/keeper/src/store.ts
@@ -19,6 +19,7 @@
   type Group,
   type ListResult,
   type MendAsk,
+  type OpenAsk,
   type PrepareAsk,
   type PrepareReply,
   type ReadAsk,
@@ -37,6 +38,7 @@
   counts: () => {
     prepares: number;
     accepts: number;
+    opened: number;
     rejected: number;
     mended: number;
     extended: number;
@@ -63,6 +65,8 @@
 const former = 'reg:';
 /** The record of the floor; no register has this key. */
 const floorKey = '';
+/** Nothing is ever held under this: its removal shows that all batches before are synced. */
+const barrierKey = '\n';
 const none: Copy = { promised: ballot.zero, accepted: ballot.zero, held: null, touched: 0 };
 const markOf = (m: Base): number => (typeof m.group === 'number' ? m.group : m.group.mark);
 
@@ -109,7 +113,7 @@
     if (!(Number.isSafeInteger(wait) && wait >= leastGrace))
       throw fault.make({ step: 'store.open', code: 'grace' }, `grace is ${wait} us, it is ${leastGrace} us at least`);
     const log = lens.log('keeper');
-    const c = { prepares: 0, accepts: 0, rejected: 0, mended: 0, extended: 0, purged: 0, refused: 0 };
+    const c = { prepares: 0, accepts: 0, opened: 0, rejected: 0, mended: 0, extended: 0, purged: 0, refused: 0 };
     const copies = shelf.open();
     const { index, floor } = withFloor(copies);
     const records = batches.open<Copy>({ book, index, prefix: former, limits: o.limits ?? {} });
@@ -128,6 +132,29 @@
     if (!kept) await book.write('identity', 1, { id });
     let group = (await book.read<Group>('group'))?.value;
     const short = lock.keyed();
+    /** Whether it holds every opening that was decided: it was a founder, or the sweep has said so since (§6.5). */
+    let filled = group !== undefined && (await book.read<{ mark: number }>('filled'))?.value.mark === group.mark;
+    const fill = async (): Promise<void> => {
+      const { mark } = group!;
+      await book.write('filled', mark, { mark });
+      filled = group!.mark === mark;
+    };
+    let emptying = false;
+    const has = (g: Group): boolean => g.members.some((k) => k.id === id);
+    /** It was no member, or missed a group: what it holds may be of before, and is on a majority without it. */
+    const wasOut = (g: Group): boolean => group !== undefined && has(g) && (!has(group) || g.mark > group.mark + 1);
+    const empty = async (): Promise<void> => {
+      emptying = true;
+      // What was let in before goes to the disk in this turn of the loop; a batch after it shows that it is there.
+      await time.sleep(lens.clock, 0);
+      do {
+        await records.remove(barrierKey);
+        const keys = Array.from({ length: ranges }, (_, r) => copies.keys(r, '', Infinity)).flat();
+        await Promise.all(keys.map((key) => records.remove(key)));
+        await records.remove(barrierKey);
+      } while (copies.size() > 0);
+      emptying = false;
+    };
     const learn = (g: Group): Promise<void> =>
       short('group', async () => {
         if (group && g.mark <= group.mark) {
@@ -137,13 +164,22 @@
           );
           return;
         }
+        if (wasOut(g)) {
+          if (copies.size() > 0) log('this keeper was out of the group: it begins empty.');
+          filled = false;
+          await empty();
+        }
         await book.write('group', g.mark, g);
+        const fills = filled || (!group && g.mark === 1);
+        filled = false;
         group = g;
+        if (fills) await fill();
         log(`group mark is ${g.mark}.`);
       });
     /** Whether the group has this keeper at the place where it was asked: a bare mark names no keeper. */
     const here = (): boolean => group!.members.some((k) => k.id === id && k.at === pipe.at);
     const guard = async (m: Base): Promise<Refusal | undefined> => {
+      if (emptying) return { ok: false, why: 'identity' };
       if (typeof m.group === 'number') {
         if (!group || m.group > group.mark) return { ok: false, why: 'unknown' };
         if (group.mark > markOf(m)) return { ok: false, why: 'group', group };
@@ -228,6 +264,33 @@
         return reply(m, m.lean ? {} : { copy: next });
       }),
     );
+    /** An opening was not prepared: it is taken only where nothing was ever promised (§6.2). */
+    pipe.on<OpenAsk>('reg.open', isAsk.open, (m) =>
+      inLine(m.key, async (): Promise<Reply<AcceptReply>> => {
+        const no = await guard(m);
+        if (no) return no;
+        if (!filled) return { ok: false, why: 'filling' };
+        const promised = promisedOf(m.key);
+        if (copies.get(m.key) || ballot.cmp(m.ballot, promised) <= 0) return reject(promised);
+        await records.write(m.key, {
+          promised: ballot.max(m.next, m.ballot),
+          accepted: ballot.opening(m.op),
+          held: m.held,
+          touched: lens.clock.wall(),
+        });
+        c.opened += 1;
+        return reply(m, {});
+      }),
+    );
+    /** The sweep found the same with all members, or settled it (§6.5). */
+    pipe.on<Base>('reg.filled', isAsk.filled, async (m) => {
+      if (await guard(m)) return { ok: false };
+      await short('group', async () => {
+        // The group may have moved on meanwhile, and this keeper begun anew.
+        if (!filled && group!.mark === markOf(m)) await fill();
+      });
+      return { ok: true };
+    });
     pipe.on<ReadAsk>('reg.read', isAsk.read, async (m): Promise<Reply<ReadReply>> => {
       const no = await guard(m);
       if (no) return no;
--- a/packages/keeper/src/sweep.ts
+++ b/packages/keeper/src/sweep.ts
@@ -65,6 +65,10 @@
   }
 };
 
+/** All members hold the same now, or it is settled: whatever was opened before is known to this one (§6.5). */
+const tellFilled = (o: { pipe: Pipe; group: Group }, k: Keep): Promise<unknown> =>
+  o.pipe.ask(k.at, 'reg.filled', { to: k.id, group: o.group }, us.ms(800)).catch(() => undefined);
+
 export const sweep = {
   /**
    * One pass. `all` settles every key (after a group change). Otherwise the keepers' digests are compared by range,
@@ -100,9 +104,12 @@
     let range = todo.shift();
     let after = '';
     const limit = 128;
+    let whole = digested.length === group.members.length;
     const over = async (): Promise<SweepResult> => {
       r.complete = true;
-      if (!o.all && digested.length === group.members.length) r.purged = await dropDue(o);
+      if (o.all || !whole) return r;
+      await Promise.all(group.members.map((k) => tellFilled(o, k)));
+      r.purged = await dropDue(o);
       return r;
     };
     if (range === undefined) return over();
@@ -117,6 +124,7 @@
       );
       const good = pages.flatMap((p) => (p?.l.ok ? [{ k: p.k, l: p.l }] : []));
       if (good.length < need) return r;
+      whole &&= good.length === group.members.length;
       // Keys beyond the shortest full page are left for the next one.
       const ends = good.map((g) => g.l.next).filter((n): n is string => n !== null);
       const end = ends.length ? ends.reduce((a, b) => (a < b ? a : b)) : null;
