Claims, kept turns and a program's first charge open their registers in one round

Cause: each of them writes a key that nobody has written before, and paid a prepare for it.

Where turns are kept, a turn that continues none is its program's first, so its charge finds no purse. Where they are not, a purse is more often there than not (eight edges, programs wander), and a refused opening costs a round: not tried there.

--- a/packages/fairway/src/books.ts
+++ b/packages/fairway/src/books.ts
@@ -8,8 +8,11 @@
 
 export type Chat = Plan & { kind: 'chat' };
 export type Job = Plan & { kind: 'job' };
-/** A program's account (§5.3): whose budget, how much, and for how long it is remembered at least. */
-export type Account = { program: string; budget: number; keepSeconds: number };
+/**
+ * A program's account (§5.3): whose budget, how much, and for how long it is remembered at least. `fresh`: this is
+ * likely its first turn, so that there is no purse yet (§6.2).
+ */
+export type Account = { program: string; budget: number; keepSeconds: number; fresh?: boolean };
 /** A key's claim (§5.4): its register, and the digest of the request that comes with it. */
 export type Key = { name: string; sum: string };
 export type Done = {
@@ -125,6 +128,7 @@
             };
           },
           left,
+          { fresh: true },
         ),
       /** Only from a stage in which nothing was sent. */
       unclaim: async (k, turn, quiet = refusedQuiet) => {
@@ -161,6 +165,7 @@
             return { held: { value: r.purse, until: purseUntil(a, w, promised) }, result };
           },
           left,
+          { fresh: a.fresh === true },
         ),
       settle: (a, turn, e, left) => purseChange(a, (was) => dues.settle(was, { turn, ...e }), left),
       giveBack: (a, turn) => purseChange(a, (was) => dues.giveBack(was, turn), us.ms(800)).catch(() => undefined),
--- a/packages/fairway/src/forward/forward.ts
+++ b/packages/fairway/src/forward/forward.ts
@@ -181,7 +181,9 @@
   const { x, p } = r;
   const { turn } = p;
   if (turn === null || turn.budget === null) return 'again';
-  const account: Account = { program: turn.program, budget: turn.budget, keepSeconds: 0 };
+  // Where turns are kept, the first of a program continues none: no purse is there yet.
+  const fresh = p.route.keepSeconds > 0 && p.previous === null;
+  const account: Account = { program: turn.program, budget: turn.budget, keepSeconds: 0, fresh };
   const begun = x.lens.clock.now();
   for (;;) {
     let got: Charged;
--- a/packages/fairway/src/forward/kept.ts
+++ b/packages/fairway/src/forward/kept.ts
@@ -71,6 +71,7 @@
           return { held: { value, until: value.until }, result: value };
         },
         left,
+        { fresh: turn !== undefined },
       );
       if (t) near.set(id, t);
     };
