Towers that have all started again have a head after a beat and a half, not by chance

Cause: after a closing fault the fronts wait for the towers' view, and the towers waited 0.3 s of silence and then a random part of 0.6 s each; canvass and stop waited for a member that was gone up to their limits (0.2 s, 0.4 s).

Now members that have heard nobody in this life wait for one another in their order, a beat each, after a beat and a half; a majority of answers is enough. A front says in its log how long its first request waited for it to know the fleet.

--- a/packages/fairway/src/index.ts
+++ b/packages/fairway/src/index.ts
@@ -279,11 +279,15 @@
               : { ...(headers as Record<string, string>), 'connection': 'close' },
         ),
     });
+    let wasKnown = false;
     /** A front that has just started takes requests at once and serves them as soon as it can (§5.10). */
     const untilKnown = async (say: HttpSay): Promise<void> => {
       const end = clock.now() + holdAtStart;
       const known = (): boolean => config !== undefined && adm.hasWorkers() && regs.known();
       while (!known() && clock.now() < end && !say.gone() && !closed) await time.sleep(clock, us.ms(20));
+      if (wasKnown || !known()) return;
+      wasKnown = true;
+      log(`knows the fleet; a first request had waited ${us.toMs(clock.now() - end + holdAtStart)} ms for that.`);
     };
     /** What may be taken now; else why not. */
     const closedFor = async (say: HttpSay): Promise<string | null> => {
--- a/packages/fog/test/views.test.ts
+++ b/packages/fog/test/views.test.ts
@@ -4,7 +4,7 @@
 import { logbook } from '@thornsail/logbook';
 import { pipe } from '@thornsail/pipe';
 import { views, type Marked, type Views } from '@thornsail/tower';
-import { world, type Host } from '@thornsail/fog';
+import { world, type Host, type World } from '@thornsail/fog';
 
 type List = { list: string[] };
 type Tower = { at: string; host: Host; v: Views<List> | null; log: Marked<List>[] };
@@ -169,4 +169,82 @@
     assert.equal(invariant.breaches(), []);
   }
 });
+type Trio = { w: World; hosts: Host[]; all: Views<List>[]; boot: (i: number) => Promise<void>; head: () => number };
+/** Three towers that have formed a view. */
+const trio = async (seed: number): Promise<Trio> => {
+  invariant.clear();
+  const w = world.open({ seed, zoneDelay: us.ms(1.5), clientDelay: us.ms(1), clientIp: '127.0.9.9' });
+  const at = [1, 2, 3].map((i) => `127.0.3.${i}:7101`);
+  const hosts = at.map((_, i) => w.host(`127.0.3.${i + 1}`, `z${i + 1}`));
+  const all: Views<List>[] = [];
+  const boot = async (i: number): Promise<void> => {
+    const lens = w.lens(hosts[i]!);
+    const own = { lens, pipe: await pipe.open(lens, at[i]!), book: await logbook.open(lens.disk) };
+    all[i] = await views.open<List>({ ...own, founders: at, initial: { list: [] }, onDone: () => undefined });
+  };
+  for (const i of [0, 1, 2]) void boot(i);
+  await w.run(us.s(3));
+  return { w, hosts, all, boot, head: () => all.findIndex((v, i) => hosts[i]!.alive && v.standing() === 'lead') };
+};
+test('towers that have all started again have a head soon, and one of them only', async () => {
+  for (let seed = 1; seed <= 30; seed++) {
+    const x = await trio(seed);
+    const { w } = x;
+    const before = x.all[0]!.done()!.view;
+    const power = seed % 2 === 0;
+    for (const h of x.hosts) w.kill(h, power ? 'power' : 'process');
+    await w.run(us.s(4));
+    // Processes of a fleet do not start in the same moment.
+    const starts = x.hosts.map(() => us.s(4) + w.rand.int(us.ms(50)));
+    for (const [i, h] of x.hosts.entries())
+      w.at(starts[i]!, () => {
+        w.start(h);
+        void x.boot(i);
+      });
+    await w.run(Math.max(...starts) + us.ms(350));
+    assert.is(x.all.filter((v) => v.standing() === 'lead').length, 1, `seed ${seed}: one head within 0.35 s`);
+    assert.is(x.all[x.head()]!.done()?.view, before + 1, `seed ${seed}: the first attempt succeeded`);
+    await w.run(us.s(8));
+    assert.is(x.all[x.head()]!.done()!.view, before + 1, `seed ${seed}: it stayed`);
+    assert.equal(invariant.breaches(), []);
+  }
+});
+test('two towers that start again while the third is gone have a head within a second', async () => {
+  for (let seed = 1; seed <= 30; seed++) {
+    const x = await trio(seed);
+    const { w } = x;
+    for (const h of x.hosts) w.kill(h, 'power');
+    const back = [0, 1, 2].filter((i) => i !== seed % 3);
+    await w.run(us.s(4));
+    for (const i of back) {
+      w.start(x.hosts[i]!);
+      void x.boot(i);
+    }
+    await w.run(us.s(5));
+    assert.ok(x.head() >= 0, `seed ${seed}: no head after a second`);
+    assert.equal(invariant.breaches(), []);
+  }
+});
+test('towers that start again leave a head that lives where it is', async () => {
+  for (let seed = 1; seed <= 30; seed++) {
+    const x = await trio(seed);
+    const { w } = x;
+    const head = x.head();
+    const before = x.all[head]!.done()!.view;
+    const others = [0, 1, 2].filter((i) => i !== head);
+    // One after the other, and both in one moment.
+    for (const some of [[others[0]!], [others[1]!], others]) {
+      for (const i of some) w.kill(x.hosts[i]!, 'process');
+      await w.run(w.now() + us.ms(300));
+      for (const i of some) {
+        w.start(x.hosts[i]!);
+        void x.boot(i);
+      }
+      await w.run(w.now() + us.s(2));
+      assert.is(x.head(), head, `seed ${seed}`);
+      assert.is(x.all[head]!.done()!.view, before, `seed ${seed}: its view goes on`);
+    }
+    assert.equal(invariant.breaches(), []);
+  }
+});
 test.run();
--- a/packages/tower/src/views.ts
+++ b/packages/tower/src/views.ts
@@ -44,6 +44,22 @@
 
 const newer = <S>(a: Marked<S>, b: Marked<S>): boolean => a.view > b.view || (a.view === b.view && a.seq > b.seq);
 const majority = (n: number): number => Math.floor(n / 2) + 1;
+/** What has come in as soon as it is enough, else all that comes. */
+const gather = <T>(asked: Promise<T | undefined>[], enough: (got: T[]) => boolean): Promise<T[]> =>
+  new Promise((fin) => {
+    const got: T[] = [];
+    let left = asked.length;
+    const check = (): void => {
+      if (left === 0 || enough(got)) fin([...got]);
+    };
+    check();
+    for (const a of asked)
+      void a.then((r) => {
+        left -= 1;
+        if (r !== undefined) got.push(r);
+        check();
+      });
+  });
 
 export const views = {
   open: async <S>(o: {
@@ -81,7 +97,9 @@
     let done: Marked<S> | undefined;
     let head: Place | undefined;
     // A head that lives is heard within a beat or two: one that just started need not wait out the whole silence.
-    let heardAt = clock.now() - T.silent + T.beat * 3;
+    let heardAt = clock.now() - T.silent + T.beat * 1.5;
+    /** A member from an earlier life, and nothing heard in this one: no head, and nobody who wants to be one. */
+    let fresh = accepted !== undefined;
     let closed = false;
 
     const step = (ev: 'formed' | 'silent' | 'won' | 'lost'): void => machine.send(ev);
@@ -120,6 +138,7 @@
       if (view < promised) return;
       head = from;
       heardAt = clock.now();
+      fresh = false;
       if (standing() === 'lead' && from !== pipe.at) loseLead('a newer view');
       if (standing() === 'stop' && from !== pipe.at) step('lost');
     };
@@ -167,6 +186,7 @@
           if (standing() === 'lead') loseLead('stopped by a sibling');
           head = undefined;
           heardAt = clock.now();
+          fresh = false;
           return { ok: true, view, accepted };
         }),
     );
@@ -353,7 +373,9 @@
     const takeOver = async (): Promise<void> => {
       const mine = accepted;
       if (!mine || standing() !== 'follow' || !mine.members.some((m) => m.id === id)) return;
-      const canvass = await Promise.all(
+      const yesOf = (got: { id: string; ok: boolean }[]): Set<string> =>
+        new Set([id, ...got.filter((r) => r.ok).map((r) => r.id)]);
+      const canvass = await gather(
         others(mine).map((m) =>
           pipe
             .ask<{ ok: boolean; view: number; unformed?: boolean }>(
@@ -363,15 +385,17 @@
               us.ms(200),
             )
             .then(
-              (r) => ({ ...r, id: m.id }),
+              (r) => {
+                if (r.unformed) bringUp(mine, m.id);
+                return { ...r, id: m.id };
+              },
               () => undefined,
             ),
         ),
+        (got) => count(mine, yesOf(got)),
       );
-      for (const r of canvass) if (r?.unformed) bringUp(mine, r.id);
-      const yes = new Set<string>([id, ...canvass.filter((r) => r?.ok).map((r) => r!.id)]);
-      const top = Math.max(promised, ...canvass.map((r) => r?.view ?? 0));
-      if (!count(mine, yes)) {
+      const top = Math.max(promised, ...canvass.map((r) => r.view));
+      if (!count(mine, yesOf(canvass))) {
         // A sibling that promised a higher view without a head makes us catch up, or no one ever could.
         if (top > promised) await short(() => promise(top));
         return;
@@ -389,25 +413,27 @@
         return;
       }
       head = undefined;
-      const stopped = await Promise.all(
+      const held = accepted;
+      const newest = (got: { r: Stopped<S> }[]): Marked<S> =>
+        got.reduce<Marked<S>>((a, { r }) => (r.ok && r.accepted && newer(r.accepted, a) ? r.accepted : a), held!);
+      const idsOf = (got: { r: Stopped<S>; id: string }[]): Set<string> =>
+        new Set([id, ...got.filter(({ r }) => r.ok && r.accepted).map((x) => x.id)]);
+      // A majority is enough: one that is gone is not waited for.
+      const stopped = await gather(
         others(mine).map((m) =>
           pipe.ask<Stopped<S>>(m.at, 'view.stop', { to: m.id, view }, us.ms(400)).then(
             (r) => ({ r, id: m.id }),
             () => undefined,
           ),
         ),
+        (got) => count(mine, idsOf(got)) && count(newest(got), idsOf(got)),
       );
       if (standing() !== 'stop' || promised !== view || !accepted) {
         if (standing() === 'stop') step('lost');
         return;
       }
-      const ids = new Set<string>([id]);
-      let best: Marked<S> = accepted;
-      for (const s of stopped)
-        if (s?.r.ok && s.r.accepted) {
-          ids.add(s.id);
-          if (newer(s.r.accepted, best)) best = s.r.accepted;
-        }
+      const ids = idsOf(stopped);
+      const best = newest(stopped);
       if (!count(mine, ids) || !count(best, ids) || !best.members.some((m) => m.id === id)) {
         step('lost');
         heardAt = clock.now();
@@ -458,7 +484,15 @@
       );
     };
 
-    let patience = T.silent + rand.int(T.spread);
+    /**
+     * After a start of all nobody was heard, and whoever asks first is not in anyone's way: then the members wait for
+     * one another in their order, a beat each, instead of by chance.
+     */
+    const waitFor = (): Us => {
+      const rank = Math.max(0, accepted?.members.findIndex((m) => m.id === id) ?? 0);
+      return fresh && clock.now() - heardAt < 2 * T.silent ? T.silent + rank * T.beat : T.silent + rand.int(T.spread);
+    };
+    let patience = waitFor();
     const stops = [
       time.every(clock, T.beat, async () => {
         if (standing() === 'lead') {
@@ -472,7 +506,7 @@
           return;
         }
         if (standing() === 'follow' && clock.now() - heardAt > patience) {
-          patience = T.silent + rand.int(T.spread);
+          patience = waitFor();
           await takeOver();
         }
       }),
