Kept turns are read together, and believed from any copy

Cause: each earlier turn that an edge had not seen was a read of its own, three frames there and back; and since kept turns are opened (one round, all members), each read while a keeper is lost settled its turn by two rounds. Ruled out: reading an undecided value is no harm here: a turn is written once, and it is missing for sure only if none of a majority has it, as its answer's end waits for a decision. A test with each keeper lost in turn: no ballots, the same values.

--- a/packages/fairway/src/forward/kept.ts
+++ b/packages/fairway/src/forward/kept.ts
@@ -52,12 +52,13 @@
 export const kept = {
   open: (o: { clock: Clock; registers: Registers }): KeptTurns => {
     const near = remembered();
-    const read = async (id: string, left: Us): Promise<KeptTurn | undefined> => {
-      const here = near.get(id);
-      if (here) return here;
-      const t = (await o.registers.read(register(id), left)) as KeptTurn | undefined;
-      if (t) near.set(id, t);
-      return t;
+    /** Those that are not remembered are asked for together; a turn never changes once it is there. */
+    const read = async (ids: string[], left: Us): Promise<(KeptTurn | undefined)[]> => {
+      const unknown = ids.filter((id) => !near.get(id));
+      const got = unknown.length ? await o.registers.readMany(unknown.map(register), left, { once: true }) : [];
+      const found = new Map(unknown.map((id, i) => [id, got[i] as KeptTurn | undefined]));
+      for (const [id, t] of found) if (t) near.set(id, t);
+      return ids.map((id) => found.get(id) ?? near.get(id));
     };
     /** Held for twice its span, so that one of a living chain is written again once in that span at most. */
     const hold = async (id: string, span: Us, left: Us, turn?: KeptTurn): Promise<void> => {
@@ -78,9 +79,9 @@
     const endsSoon = (id: string, span: Us): boolean => (near.get(id)?.until ?? 0) < o.clock.wall() + span;
     return {
       chain: async (last, left) => {
-        const end = await read(last, left);
+        const [end] = await read([last], left);
         if (!end) return undefined;
-        const before = await Promise.all(end.chain.map((id) => read(id, left)));
+        const before = await read(end.chain, left);
         // A chain is kept as long as its last turn: one that lacks a turn is not known for sure.
         if (before.some((t) => t === undefined))
           throw fault.make({ step: 'chain', code: 'no-majority' }, `${last}: an earlier turn was not found`);
--- a/packages/keeper/src/read.ts
+++ b/packages/keeper/src/read.ts
@@ -57,9 +57,9 @@
 export const reader = (
   x: Proposer,
   settle: (key: string, left: Us) => Promise<unknown>,
-): ((keys: string[], timeLeft: Us) => Promise<unknown[]>) => {
+): ((keys: string[], timeLeft: Us, o?: { once?: boolean }) => Promise<unknown[]>) => {
   const { clock } = x.lens;
-  return async (keys, timeLeft) => {
+  return async (keys, timeLeft, { once = false } = {}) => {
     x.c.reads += keys.length;
     const end = clock.now() + timeLeft;
     const g = x.members.group();
@@ -76,7 +76,7 @@
       // A keeper that is just syncing a change answers with what was before it: the third one decides.
       (ok, failed) =>
         (failed.includes(nearest!) || ok.some((y) => y.from === nearest)) &&
-        keys.every((_, i) => decided(g, agreed(ok, seenOf(i)))),
+        keys.every((_, i) => once || decided(g, agreed(ok, seenOf(i)))),
       (ok) => (keys.some((_, i) => lacksLast(g, agreed(ok, seenOf(i)))) ? x.members.lastWithin(g) : patience),
     );
     x.members.learn(r.no);
@@ -87,10 +87,13 @@
       const extended = r.ok.filter((y) => (seenOf(i)(y).extended ?? 0) >= a.extended).length;
       return { key, i, a, from, extended };
     });
-    const lacking = all.filter((l) => decided(g, l.a) && l.a.held === undefined && !expired(l.a));
+    // What is written once has one value: whoever shows it is believed, and nobody who has it is in no majority.
+    const sure = (a: Agreed): boolean => decided(g, a) || (once && a.held !== null && !expired(a));
+    const lacking = all.filter((l) => sure(l.a) && l.a.held === undefined && !expired(l.a));
     await fetchValues(x, g, lacking, Math.min(Math.max(0, end - clock.now()), askWithin));
     const conclude = async ({ key, i, a, extended }: (typeof all)[number]): Promise<unknown> => {
-      if (!decided(g, a)) return settle(key, end - clock.now());
+      if (!sure(a)) return settle(key, end - clock.now());
+      if (once && a.held && !expired(a)) return a.held.value;
       const copies = r.late.then((l) => l.map((y) => ({ from: y.from, accepted: y.reply.copies[i]!.accepted })));
       mend(x, g, key, a, copies);
       if (a.held === null || expired(a)) return undefined;
--- a/packages/keeper/src/registers.ts
+++ b/packages/keeper/src/registers.ts
@@ -26,7 +26,8 @@
   /** Reads the agreed value; throws with code 'no-majority' rather than say it is missing. */
   read: (key: string, timeLeft?: Us) => Promise<unknown>;
   /** As `read` for several keys, in their order, with one frame to each keeper. */
-  readMany: (keys: string[], timeLeft?: Us) => Promise<unknown[]>;
+  /** `once`: these are written once, so any copy's value is the value, and need not be settled (§6.2). */
+  readMany: (keys: string[], timeLeft?: Us, o?: { once?: boolean }) => Promise<unknown[]>;
   /**
    * Compare-and-set by function: `fn` sees the agreed value and gives the next. It may be called more than once,
    * but takes effect once: a round whose accepts went to a minority is recognised if its value lives on. `fresh`: there
@@ -295,7 +296,7 @@
       extend,
       settleKey: async (key, timeLeft) => void (await settle(key, timeLeft)),
       read: async (key, timeLeft = us.s(2)) => (await readMany([key], timeLeft))[0],
-      readMany: (keys, timeLeft = us.s(2)) => readMany(keys, timeLeft),
+      readMany: (keys, timeLeft = us.s(2), o = {}) => readMany(keys, timeLeft, o),
       reachable: async (timeLeft = us.ms(400)) => {
         try {
           const g = x.members.group();
--- a/packages/keeper/test/registers.test.ts
+++ b/packages/keeper/test/registers.test.ts
@@ -632,6 +632,26 @@
       assert.equal(await reader.regs.read('k1'), ['x']);
     });
 });
+test('what is written once is believed from any copy, without a ballot; what nobody shows is absent', async () => {
+  for (const lost of [0, 1, 2])
+    await stage(23, async ({ w, hosts, edge, wait }) => {
+      const a = await edge(1);
+      await a.regs.change('warm', put(1));
+      await wait(us.s(1));
+      await a.regs.change('k', put('v'), us.s(2), fresh);
+      assert.is(a.regs.counts().opened, 1);
+      // Keeper 2 alone has this one: its opening was never decided, nor told to be.
+      const heal = w.cut([a.host], [hosts[0]!, hosts[2]!]);
+      await a.regs.change('alone', put('w'), us.ms(100), fresh).catch(() => undefined);
+      heal();
+      w.kill(hosts[lost]!, 'power');
+      const b = await edge(2);
+      const { rounds } = b.regs.counts();
+      const got = await b.regs.readMany(['k', 'alone', 'none'], us.s(2), { once: true });
+      assert.equal(got, ['v', lost === 1 ? undefined : 'w', undefined], `without keeper ${lost + 1}`);
+      assert.is(b.regs.counts().rounds, rounds, 'no ballot for it');
+    });
+});
 test('an opening that not all members took is settled before anybody is told of it', () =>
   stage(22, async ({ w, hosts, edge, wait, boot }) => {
     const a = await edge(1);
