A program's purse that was changed at another edge takes two rounds to charge, not three and a pause

Now a change says that it comes from elsewhere and how many ballots there were likely: 12 frames instead of 18. A promise that was overtaken unawares goes on to its prepare at once.

--- a/packages/fairway/src/books.ts
+++ b/packages/fairway/src/books.ts
@@ -10,9 +10,16 @@
 export type Job = Plan & { kind: 'job' };
 /**
  * A program's account (§5.3): whose budget, how much, and for how long it is remembered at least. `fresh`: this is
- * likely its first turn, so that there is no purse yet (§6.2).
+ * likely its first turn, so that there is no purse yet; `past`: its last turn was
+ * at another edge, and so many ballots its purse has likely seen (§6.2).
  */
-export type Account = { program: string; budget: number; keepSeconds: number; fresh?: boolean };
+export type Account = {
+  program: string;
+  budget: number;
+  keepSeconds: number;
+  fresh?: boolean;
+  past?: number;
+};
 /** A key's claim (§5.4): its register, and the digest of the request that comes with it. */
 export type Key = { name: string; sum: string };
 export type Done = {
@@ -165,7 +172,7 @@
             return { held: { value: r.purse, until: purseUntil(a, w, promised) }, result };
           },
           left,
-          { fresh: a.fresh === true },
+          { fresh: a.fresh === true, past: a.past ?? 0 },
         ),
       settle: (a, turn, e, left) => purseChange(a, (was) => dues.settle(was, { turn, ...e }), left),
       giveBack: (a, turn) => purseChange(a, (was) => dues.giveBack(was, turn), us.ms(800)).catch(() => undefined),
--- a/packages/fairway/src/forward/forward.ts
+++ b/packages/fairway/src/forward/forward.ts
@@ -40,6 +40,8 @@
   /** Workers that it was sent to. */
   sends: number;
   chain: string[];
+  /** The turn before it was answered by another edge. */
+  elsewhere: boolean;
   body: Uint8Array;
   /** Tokens of the prompt, as the scheduler counts them. */
   prompt: number;
@@ -168,6 +170,7 @@
     const c = await f.kept.chain(p.previous, Math.min(left(r), us.s(2)));
     if (!c) return no(r, 404, 'no_such_turn', 'there is no such earlier turn', null);
     r.chain = c.ids;
+    r.elsewhere = !c.here;
     r.body = Buffer.concat([Buffer.from(c.text, 'latin1'), p.body]);
     return 'again';
   } catch (e) {
@@ -176,6 +179,8 @@
   }
 };
 
+/** Ballots that a purse sees for each turn of a line at most, mostly: charge and settlement, helpers beside it. */
+const ballotsOfTurn = 8;
 /** A budget that open turns hold is asked for again after so long, then twice as long each time, up to the second. */
 const [askOpenFirst, askOpenAtMost] = [us.ms(40), us.ms(200)];
 
@@ -189,7 +194,8 @@
   if (turn === null || turn.budget === null) return 'again';
   // Where turns are kept, the first of a program continues none: no purse is there yet.
   const fresh = p.route.keepSeconds > 0 && p.previous === null;
-  const account: Account = { program: turn.program, budget: turn.budget, keepSeconds: 0, fresh };
+  const past = r.elsewhere ? ballotsOfTurn * (r.chain.length + 1) : 0;
+  const account: Account = { program: turn.program, budget: turn.budget, keepSeconds: 0, fresh, past };
   const begun = x.lens.clock.now();
   let wait = askOpenFirst;
   for (;;) {
@@ -522,6 +528,7 @@
     not: new Set(),
     sends: 0,
     chain: [],
+    elsewhere: false,
     body: p.body,
     prompt: p.usage.prompt,
     events: 0,
--- a/packages/fairway/src/forward/kept.ts
+++ b/packages/fairway/src/forward/kept.ts
@@ -10,8 +10,11 @@
  */
 export type KeptTurn = { chain: string[]; input: string; output: string; until?: Us };
 export type KeptTurns = {
-  /** The turns of a chain up to `last`, oldest first; undefined if there is no such turn. Throws rather than guess. */
-  chain: (last: string, left: Us) => Promise<{ ids: string[]; text: string } | undefined>;
+  /**
+   * The turns of a chain up to `last`, oldest first, and whether this edge had it at hand; undefined if there is none
+   * such. Throws rather than guess.
+   */
+  chain: (last: string, left: Us) => Promise<{ ids: string[]; text: string; here: boolean } | undefined>;
   /** Resolves once a majority has it. */
   keep: (id: string, turn: KeptTurn, keepSeconds: number, left: Us) => Promise<void>;
   bytes: () => number;
@@ -79,6 +82,7 @@
     const endsSoon = (id: string, span: Us): boolean => (near.get(id)?.until ?? 0) < o.clock.wall() + span;
     return {
       chain: async (last, left) => {
+        const here = near.get(last) !== undefined;
         const [end] = await read([last], left);
         if (!end) return undefined;
         const before = await read(end.chain, left);
@@ -86,7 +90,7 @@
         if (before.some((t) => t === undefined))
           throw fault.make({ step: 'chain', code: 'no-majority' }, `${last}: an earlier turn was not found`);
         const turns = [...(before as KeptTurn[]), end];
-        return { ids: [...end.chain, last], text: turns.map((t) => t.input + t.output).join('') };
+        return { ids: [...end.chain, last], text: turns.map((t) => t.input + t.output).join(''), here };
       },
       keep: async (id, turn, keepSeconds, left) => {
         const span = us.s(keepSeconds) + slack;
--- a/packages/keeper/src/registers.ts
+++ b/packages/keeper/src/registers.ts
@@ -31,9 +31,11 @@
   /**
    * Compare-and-set by function: `fn` sees the agreed value and gives the next. It may be called more than once,
    * but takes effect once: a round whose accepts went to a minority is recognised if its value lives on. `fresh`: there
-   * is likely nothing under this key yet; then one round is enough, if all keepers answer in time (§6.2).
+   * is likely nothing under this key yet; then one round is enough, if all keepers answer in time (§6.2). `past`:
+   * other proposers have likely changed it since this one did, and it has seen about so many ballots: what was
+   * promised here is not tried, and the first ballot is above them.
    */
-  change: <R>(key: string, fn: Fn<R>, timeLeft?: Us, o?: { fresh?: boolean }) => Promise<R>;
+  change: <R>(key: string, fn: Fn<R>, timeLeft?: Us, o?: { fresh?: boolean; past?: number }) => Promise<R>;
   /** Runs the prepare round ahead of time: the next `change` of this key here takes one round, if no other comes. */
   reserve: (key: string, timeLeft?: Us) => Promise<void>;
   /**
@@ -52,7 +54,7 @@
 /** How many changes a value remembers: more than can be in flight for one key at once. */
 const opsKept = 12;
 const askWithin = us.ms(400);
-type How = { force?: boolean; fresh?: boolean };
+type How = { force?: boolean; fresh?: boolean; past?: number };
 type Done<R> = { result: R } | undefined;
 const untilAll = (h: Held | null, extended: Us): Us => keptUntil(h?.until ?? 0, extended);
 
@@ -200,12 +202,13 @@
         const end = clock.now() + timeLeft;
         const top: Top = { ballot: ballot.zero };
         const tried = new Map<string, R>();
-        const { force = false, fresh = false } = o;
+        const { force = false, fresh = false, past = 0 } = o;
+        if (past > 0) top.ballot = [x.members.floor() + past, me];
         return attempts<R>(x, { step: 'register.change', what: key, end }, async (g, round, left) => {
           const first = round === 0 && fresh && !force && !cache.get(key);
           const done = first ? await opened(g, key, fn, tried, top, left) : undefined;
           if (done) return done;
-          const quick = round === 0 && !force ? promised(cache.get(key), g) : undefined;
+          const quick = round === 0 && !force && past === 0 ? promised(cache.get(key), g) : undefined;
           if (quick) c.quick += 1;
           const p = quick ?? (await prepare(g, key, top, left));
           if (!p) return undefined;
@@ -234,7 +237,9 @@
           const put: Held | null =
             'keep' in r ? held : r.held === null ? { value: null, until: 0, ops } : { ...r.held, ops };
           if (!('keep' in r)) tried.set(op, r.result);
-          return (await accept(g, key, p, put, top, end)) ? { result: r.result } : undefined;
+          if (await accept(g, key, p, put, top, end)) return { result: r.result };
+          // What was promised has been overtaken by another edge's change: its ballot is known now.
+          return quick ? 'again' : undefined;
         });
       });
     const settle = (key: string, timeLeft?: Us): Promise<unknown> =>
@@ -291,7 +296,7 @@
       return keys.filter((_, i) => missing[i]);
     };
     return {
-      change: (key, fn, timeLeft, how = {}) => change(key, fn, timeLeft, how.fresh ? { fresh: true } : {}),
+      change: (key, fn, timeLeft, how = {}) => change(key, fn, timeLeft, how),
       reserve,
       extend,
       settleKey: async (key, timeLeft) => void (await settle(key, timeLeft)),
--- a/packages/keeper/test/registers.test.ts
+++ b/packages/keeper/test/registers.test.ts
@@ -632,6 +632,22 @@
       assert.equal(await reader.regs.read('k1'), ['x']);
     });
 });
+test('a promise that another edge has overtaken costs one refused round and no pause; one that is told so, none', () =>
+  stage(24, async ({ w, edge, wait }) => {
+    const [a, b] = [await edge(1), await edge(2)];
+    for (const key of ['k', 'l']) {
+      await a.regs.change(key, append('a'));
+      await b.regs.change(key, append('b'));
+    }
+    await wait(us.s(1));
+    const plain = await cost(w, () => b.regs.change('l', append('b')));
+    const refused = await cost(w, () => a.regs.change('k', append('a')));
+    const told = await cost(w, () => a.regs.change('l', append('a'), us.s(2), { past: 16 }));
+    assert.equal([plain.frames, refused.frames, told.frames], [6, 18, 12]);
+    assert.ok(refused.took < 3 * plain.took + us.ms(1), `${refused.took} us, a usual change takes ${plain.took}`);
+    assert.equal(await b.regs.read('k'), ['a', 'b', 'a']);
+    assert.equal(await b.regs.read('l'), ['a', 'b', 'b', 'a']);
+  }));
 test('what is written once is believed from any copy, without a ballot; what nobody shows is absent', async () => {
   for (const lost of [0, 1, 2])
     await stage(23, async ({ w, hosts, edge, wait }) => {
