Turns that wait for their program's budget look at it without ballots

Cause: a turn for which the open turns of its program leave no room tried its charge again every 40 to 80 ms. Each try that changes nothing is a prepare round at the keepers, and takes from the other edges the promise with which they would charge and settle in one round. Ruled out: the keepers' processors (0.4 of 1.35 cores before the closing fault), the fronts' (late by 32 ms at most).

Now it reads the purse, as every reader does, and charges when there is room, nothing is left, or 0.6 s have passed (only a charge finds that an open turn is lost). Both request paths.

--- a/packages/dues/src/index.ts
+++ b/packages/dues/src/index.ts
@@ -26,6 +26,9 @@
   fresh: (budget: number): Purse => ({ budget, spent: 0, opens: [], tokens: 0, worker: null, turns: 0, lost: 0 }),
   left: (p: Purse): number => Math.max(0, p.budget - p.spent),
   opens: opensOf,
+  /** Open turns hold all that is left, or there are too many of them: another turn waits for one to end. */
+  held: (p: Purse, budget: number): boolean =>
+    !dues.over(p, budget) && (p.spent >= budget || opensOf(p).length >= mostOpen),
   /** Spent, and no open turn can give enough back to change that. */
   over: (p: Purse, budget: number): boolean => p.spent - sum(opensOf(p)) >= budget,
   /**
@@ -44,7 +47,7 @@
     p.open = null;
     p.lost += all.length - p.opens.length;
     if (dues.over(p, p.budget)) return { ok: false, why: 'spent', purse: p };
-    if (p.spent >= p.budget || p.opens.length >= mostOpen) return { ok: false, why: 'open', purse: p };
+    if (dues.held(p, p.budget)) return { ok: false, why: 'open', purse: p };
     invariant.hold(t.reserve > 0, 'a turn reserves at least one token');
     const opens = [...p.opens, { turn: t.turn, by: t.by, reserved: t.reserve, at: t.at }];
     return { ok: true, purse: { ...p, spent: p.spent + t.reserve, opens, turns: p.turns + 1 } };
--- a/packages/fairway/src/chat.ts
+++ b/packages/fairway/src/chat.ts
@@ -1,9 +1,9 @@
 // Carrying out a turn of a program (§5.1), a function for each stage: claim, context, admission, slot, charge, send.
 import { formats, type WorkerEntry } from '@thornsail/berth';
-import { fault, invariant, time, us, type HttpSay, type Us } from '@thornsail/lens';
+import { fault, invariant, us, type HttpSay, type Us } from '@thornsail/lens';
 import type { Released } from './admission.js';
 import { accountOf, keyOf, type Charged, type Chat } from './books.js';
-import { claimKey, silenceLimit, slotLimit, worker, type Edge } from './edge.js';
+import { claimKey, silenceLimit, slotLimit, untilRoom, worker, type Edge } from './edge.js';
 import { relay } from './relay.js';
 import type { Ran } from './say.js';
 import { stages, type Stages } from './stage.js';
@@ -158,7 +158,7 @@
     if (r.charged) break;
     // Other turns of the program hold the rest of its budget: one may be settling right now.
     if (left(r) < us.ms(400)) return no(r, 429, 'turn_open', 'other turns of this program hold its budget', 1);
-    await time.sleep(x.lens.clock, us.ms(60 + x.lens.rand.int(60)));
+    await untilRoom(x, p.program, p.of.budgetTokens, { left: left(r) - us.ms(400), gone: () => r.say.gone() });
   }
   x.adm.sawCharge(x.lens.clock.now() - begun);
   if (r.st.now() === 'admitted') r.st.go('charge');
--- a/packages/fairway/src/edge.ts
+++ b/packages/fairway/src/edge.ts
@@ -1,7 +1,8 @@
 // What the parts that carry plans out share at one edge.
 import type { WorkerEntry } from '@thornsail/berth';
 import type { Config } from '@thornsail/chart';
-import { fault, us, type HttpResult, type HttpSay, type Lens, type Place, type Us } from '@thornsail/lens';
+import { dues } from '@thornsail/dues';
+import { fault, time, us, type HttpResult, type HttpSay, type Lens, type Place, type Us } from '@thornsail/lens';
 import type { Mooring } from '@thornsail/mooring';
 import type { Admission } from './admission.js';
 import { keyOf, type Books, type Chat, type Claimed, type Done, type Job, type Once } from './books.js';
@@ -60,6 +61,28 @@
   },
 };
 
+/** A waiting turn charges now and then though nothing seems to have changed: only that finds a turn that was lost. */
+const chargeEvery = us.ms(600);
+/**
+ * Other turns of the program hold the rest of its budget: waits until that has changed (§5.3). It looks at the register
+ * without a ballot, for ballots would stand in the way of the turn that is to settle.
+ */
+export const untilRoom = async (
+  x: Edge,
+  program: string,
+  budget: number,
+  o: { left: Us; gone: () => boolean },
+): Promise<void> => {
+  const { clock, rand } = x.lens;
+  const end = clock.now() + Math.min(o.left, chargeEvery);
+  for (;;) {
+    await time.sleep(clock, us.ms(40 + rand.int(40)));
+    if (clock.now() >= end || o.gone()) return;
+    const p = await x.books.purse(program, Math.max(us.ms(50), end - clock.now())).catch(() => undefined);
+    if (!p || !dues.held(p, budget)) return;
+  }
+};
+
 /** Whether the edge that claimed a key still has the turn at hand; its own word, not a clock, decides. */
 export const stillOpen = async (x: Edge, once: Once): Promise<boolean> => {
   if (once.by === x.me) return x.inFlight.has(once.turn);
--- a/packages/fairway/src/forward/forward.ts
+++ b/packages/fairway/src/forward/forward.ts
@@ -4,7 +4,7 @@
 import type { WorkerEntry } from '@thornsail/berth';
 import { fault, invariant, time, us, type HttpSay, type Us } from '@thornsail/lens';
 import type { Account, Answer, Charged, Claimed, Key, Once } from '../books.js';
-import { stillOpen, type Edge } from '../edge.js';
+import { stillOpen, untilRoom, type Edge } from '../edge.js';
 import { stages, type Stages } from '../stage.js';
 import type { Connections } from './connections.js';
 import type { Dialect } from './dialect.js';
@@ -205,7 +205,7 @@
     // Other turns of the program hold the rest of its budget: one may be settling right now.
     if (quiet(r) < us.ms(400)) return no(r, 429, 'turn_open', 'other turns of this program hold its budget', soon(r));
     if (r.say.gone()) return gone(r);
-    await time.sleep(x.lens.clock, us.ms(40 + x.lens.rand.int(40)));
+    await untilRoom(x, turn.program, turn.budget, { left: quiet(r) - us.ms(400), gone: () => r.say.gone() });
   }
 };
 
