A turn goes back to the worker that has its context, whoever its free slots are dealt to

Cause: the free slots of a worker are dealt out over the edges, so that those which see the same ones do not all take them. With 20 to 26 of 32 slots running, an edge's part at one worker is one slot or none, and turns went to another worker, which had to read all their context. Ruled out: the fronts (claim, charge, slot and settling as before by 38 s), the keepers, one worker getting too much (18 to 21 running at each of five in the first second).

Now a turn whose program has had one before goes to that worker while it has any free slot past the reserves; the dealing binds those that may go anywhere. Test (berth.test), seen failing.

--- a/packages/berth/src/index.ts
+++ b/packages/berth/src/index.ts
@@ -29,6 +29,8 @@
   not?: ReadonlySet<string>;
   force?: boolean;
   hungry?: Us;
+  /** The hint has the turn's context: anywhere else it would be read anew. */
+  warm?: boolean;
   /** Another service than the class's own, for a route that is split. */
   service?: string;
 };
@@ -143,6 +145,8 @@
           if (groupOf(w) !== service || !usable(w, o.not)) continue;
           const s = runningAt(w.id);
           const free = room(s, cls, own);
+          // Its free slots are dealt among those that may go anywhere: this one would cost a read of all its context.
+          if (o.warm && w.id === o.hint && free >= 1) return w;
           if (!o.force && (free < 1 || !mayTake(w, free, o.hungry ?? 0))) continue;
           if (w.id === o.hint && free >= 1) return w;
           const l = s.running / s.slots;
--- a/packages/berth/test/berth.test.ts
+++ b/packages/berth/test/berth.test.ts
@@ -104,6 +104,29 @@
     24,
   );
 });
+test('a turn goes back to the worker that has its context while that has a free slot, dealt to this edge or not', () => {
+  const t = { now: 0 };
+  const c = chart.check({ classes: { chat: { kind: 'model', weight: 1 } }, slots: { model: 8, app: 1 } });
+  assert.ok(c.ok);
+  const names = ['e1', 'e2', 'e3', 'e4', 'e5', 'e6', 'e7'];
+  for (const me of names) {
+    const b = berth.open(() => t.now, me);
+    b.config(c.value);
+    b.workers(['a', 'b', 'c'].map((id, i) => ({ id, at: `1.1.1.${i}:1`, kind: 'model' as const, leaving: false })));
+    const others = names.filter((n) => n !== me);
+    // Five of eight slots are taken at each: three are dealt over seven edges.
+    const load = { running: { a: { chat: 5 }, b: { chat: 5 }, c: { chat: 5 } }, waiting: {} };
+    b.siblings(others.map((id, i) => ({ id, load: i === 0 ? load : { running: {}, waiting: {} } })));
+    for (let i = 0; i < 3; i++) {
+      const w = b.pick('chat', { hint: 'b', warm: true });
+      assert.is(w?.id, 'b', `${me}, turn ${i}`);
+      b.take('b', 'chat');
+    }
+    // Without a slot there it goes where it may, and so does one whose context is nowhere.
+    assert.is.not(b.pick('chat', { hint: 'b', warm: true })?.id, 'b');
+    assert.is.not(b.pick('chat', { hint: 'b' })?.id, 'b');
+  }
+});
 test('the event reader gives the same pieces however the stream is cut up', () => {
   const text =
     'data: {"choices":[{"delta":{"content":"a"},"finish_reason":null}]}\n\n: comment\n\n' +
--- a/packages/fairway/src/admission.ts
+++ b/packages/fairway/src/admission.ts
@@ -30,6 +30,7 @@
 export type Slot = { ok: true; worker: WorkerEntry } | { ok: false; why: 'full' | 'late' | 'gone' | 'none' };
 type Wait = {
   hint: string | null;
+  warm: boolean;
   not: ReadonlySet<string>;
   service?: string;
   done: (s: Slot) => void;
@@ -43,7 +44,15 @@
   end: (turn: string, e: { tokens: number | null; final: boolean; worker: string | null }) => void;
   slot: (
     cls: string,
-    o: { hint: string | null; not: ReadonlySet<string>; force: boolean; limit: Us; service?: string },
+    o: {
+      hint: string | null;
+      /** The hint has the turn's context (§5.2). */
+      warm?: boolean;
+      not: ReadonlySet<string>;
+      force: boolean;
+      limit: Us;
+      service?: string;
+    },
   ) => { got: Promise<Slot>; gone: () => void };
   leave: (worker: string, cls: string, took: Us | null) => void;
   expected: (cls: string) => Us;
@@ -197,7 +206,7 @@
           const late = w.until <= now;
           const hungry = now - (hungrySince.get(cls) ?? now);
           const of = w.service === undefined ? {} : { service: w.service };
-          const got = late ? null : berths.pick(cls, { hint: w.hint, not: w.not, hungry, ...of });
+          const got = late ? null : berths.pick(cls, { hint: w.hint, warm: w.warm, not: w.not, hungry, ...of });
           if (!late && !got) break;
           q.shift();
           wait(cls, -1);
@@ -253,7 +262,8 @@
       end: (turn, e) => step({ kind: 'end', turn, ...e }),
       slot: (cls, o) => {
         const of = o.service === undefined ? {} : { service: o.service };
-        const got = berths.pick(cls, { hint: o.hint, not: o.not, force: o.force, ...of });
+        const warm = o.warm ?? false;
+        const got = berths.pick(cls, { hint: o.hint, warm, not: o.not, force: o.force, ...of });
         const none = { gone: () => undefined };
         const q = buffers.get(cls) ?? [];
         if (got && (o.force || q.length === 0)) {
@@ -276,7 +286,7 @@
         const p = new Promise<Slot>((fin) => {
           done = fin;
         });
-        const w: Wait = { hint: o.hint, not: o.not, ...of, done, until: clock.now() + o.limit };
+        const w: Wait = { hint: o.hint, warm, not: o.not, ...of, done, until: clock.now() + o.limit };
         buffers.set(cls, [...q, w]);
         keepPumping();
         if (!hungrySince.has(cls)) hungrySince.set(cls, clock.now());
--- a/packages/fairway/src/forward/forward.ts
+++ b/packages/fairway/src/forward/forward.ts
@@ -35,6 +35,8 @@
   inTable: boolean;
   closing: boolean;
   hint: string | null;
+  /** The hint has the context of the program's earlier turns. */
+  warm: boolean;
   forced: boolean;
   not: Set<string>;
   /** Workers that it was sent to. */
@@ -240,6 +242,7 @@
   }
   r.inTable = true;
   r.st.go('admit');
+  r.warm = r.hint !== null && rel.why === 'ordinary';
   r.hint = rel.worker;
   r.forced = rel.why === 'forced';
   return 'again';
@@ -260,7 +263,14 @@
 const slot = async (r: Run): Promise<WorkerEntry | 'done'> => {
   const { x, p } = r;
   const limit = Math.min(quiet(r), left(r)) - x.adm.expected(p.cls);
-  const want = x.adm.slot(p.cls, { hint: r.hint, not: r.not, force: r.forced, limit, service: r.service });
+  const want = x.adm.slot(p.cls, {
+    hint: r.hint,
+    warm: r.warm,
+    not: r.not,
+    force: r.forced,
+    limit,
+    service: r.service,
+  });
   r.say.onGone(want.gone);
   const s = await want.got;
   if (s.ok) return s.worker;
@@ -506,6 +516,7 @@
     inTable: false,
     closing: false,
     hint: null,
+    warm: false,
     forced: false,
     not: new Set(),
     sends: 0,
