--- a/packages/berth/test/berth.test.ts
+++ b/packages/berth/test/berth.test.ts
@@ -104,7 +104,7 @@
     24,
   );
 });
-test('a turn goes back to the worker that has its context while that has a free slot, dealt to this edge or not', () => {
+test('a turn goes back to the worker that has its context while that has a free slot, dealt here or not', () => {
   const t = { now: 0 };
   const c = chart.check({ classes: { chat: { kind: 'model', weight: 1 } }, slots: { model: 8, app: 1 } });
   assert.ok(c.ok);
