--- a/packages/fairway/src/forward/forward.ts
+++ b/packages/fairway/src/forward/forward.ts
@@ -4,7 +4,7 @@
 import type { WorkerEntry } from '@thornsail/berth';
 import { fault, invariant, time, us, type HttpSay, type Us } from '@thornsail/lens';
 import type { Account, Answer, Charged, Claimed, Key, Once } from '../books.js';
-import { stillOpen, type Edge } from '../edge.js';
+import { stillOpen, untilRoom, type Edge } from '../edge.js';
 import { stages, type Stages } from '../stage.js';
 import type { Connections } from './connections.js';
 import type { Dialect } from './dialect.js';
@@ -35,6 +35,8 @@
   inTable: boolean;
   closing: boolean;
   hint: string | null;
+  /** The hint has the context of the program's earlier turns. */
+  warm: boolean;
   forced: boolean;
   not: Set<string>;
   /** Workers that it was sent to. */
@@ -181,9 +183,6 @@
 
 /** Ballots that a purse sees for each turn of a line at most, mostly: charge and settlement, helpers beside it. */
 const ballotsOfTurn = 8;
-/** A budget that open turns hold is asked for again after so long, then twice as long each time, up to the second. */
-const [askOpenFirst, askOpenAtMost] = [us.ms(40), us.ms(200)];
-
 /** The scheduler's unit: a program's line of turns (§4.3). */
 const lineOf = (t: { program: string; session: string }): string => `${t.program}/${t.session}`;
 
@@ -197,7 +196,6 @@
   const past = r.elsewhere ? ballotsOfTurn * (r.chain.length + 1) : 0;
   const account: Account = { program: turn.program, budget: turn.budget, keepSeconds: 0, fresh, past };
   const begun = x.lens.clock.now();
-  let wait = askOpenFirst;
   for (;;) {
     let got: Charged;
     try {
@@ -222,8 +220,7 @@
     // Other turns of the program hold the rest of its budget: one may be settling right now.
     if (quiet(r) < us.ms(400)) return no(r, 429, 'turn_open', 'other turns of this program hold its budget', soon(r));
     if (r.say.gone()) return gone(r);
-    await time.sleep(x.lens.clock, wait + x.lens.rand.int(wait));
-    wait = Math.min(2 * wait, askOpenAtMost);
+    await untilRoom(x, turn.program, turn.budget, { left: quiet(r) - us.ms(400), gone: () => r.say.gone() });
   }
 };
 
@@ -258,6 +255,7 @@
   }
   r.inTable = true;
   r.st.go('admit');
+  r.warm = r.hint !== null && rel.why === 'ordinary';
   r.hint = rel.worker;
   r.forced = rel.why === 'forced';
   return 'again';
@@ -278,7 +276,14 @@
 const slot = async (r: Run): Promise<WorkerEntry | 'done'> => {
   const { x, p } = r;
   const limit = Math.min(quiet(r), left(r)) - x.adm.expected(p.cls);
-  const want = x.adm.slot(p.cls, { hint: r.hint, not: r.not, force: r.forced, limit, service: r.service });
+  const want = x.adm.slot(p.cls, {
+    hint: r.hint,
+    warm: r.warm,
+    not: r.not,
+    force: r.forced,
+    limit,
+    service: r.service,
+  });
   r.say.onGone(want.gone);
   const s = await want.got;
   if (s.ok) return s.worker;
@@ -524,6 +529,7 @@
     inTable: false,
     closing: false,
     hint: null,
+    warm: false,
     forced: false,
     not: new Set(),
     sends: 0,
