A kept turn told to be of unknown outcome is fenced: it does not come afterwards

Cause, as traced: an edge freezes within a keyed turn. A copy at another edge finds it dead and says 409 outcome_unknown at 12.809; the caller reads the conversation, the message is not there, so it takes another key (12.820). The edge wakes and appends at 12.960, still behind the same base; the new turn reads that as its context and is appended at 13.465. The caller did what it may: after "unknown", what is kept decides.

Now the copy is told so only after the turn was fenced in the conversation's register, by the same compare-and-set; an append of a fenced turn is refused and its stream cut. If the turn is there after all, its reply is given. Without a majority: 503 no_keepers, ran unknown. A conversation that holds fences only reads as not there. The stand-in caller had a fault of its own: it took another key also when no node could say what is kept. It keeps its key now.

Ruled out: a change applied twice (two keys, two turns, each appended once); a lost base check (the later turn was given the earlier one's messages).

--- a/packages/fairway/src/books.ts
+++ b/packages/fairway/src/books.ts
@@ -27,8 +27,11 @@
 export type Answer = { status: number; headers: string[]; body: string };
 /** `sum` is the digest of the request that first came with the key. */
 export type Once = { by: string; at: Us; turn: string; done: Done | Answer | null; sum?: string };
-/** `marks` names the last turns kept, `ends` says how long the conversation was after each. */
-export type Kept = { messages: unknown[]; marks: string[]; ends?: number[] };
+/**
+ * `marks` names the last turns kept, `ends` says how long the conversation was after each; `fenced` names the last
+ * turns that are not kept any more.
+ */
+export type Kept = { messages: unknown[]; marks: string[]; ends?: number[]; fenced?: string[] };
 export type Claimed = { ok: true } | { ok: false; once: Once };
 /** `purse` is what stands after the charge. */
 export type Charged = { ok: true; purse: Purse } | { ok: false; why: 'spent' | 'open' };
@@ -51,6 +54,8 @@
   append: (p: Chat, turn: string, base: number, said: unknown[], left: Us) => Promise<void>;
   /** The reply that a turn with this key left in its conversation. */
   keptReply: (p: Chat | Job, left: Us) => Promise<{ content?: unknown } | undefined>;
+  /** As `keptReply`, and if it left none, it leaves none any more: a late append of it is refused (§5.5). */
+  fence: (p: Chat | Job, left: Us) => Promise<{ content?: unknown } | undefined>;
 };
 export const keyOf = (p: Chat | Job): Key => ({ name: `${p.cls}/${p.key!}`, sum: p.sum });
 export const accountOf = (p: Chat): Account => ({
@@ -63,9 +68,15 @@
 export const maxTurn = us.s(300);
 const edgeGone = us.s(2);
 const marksKept = 16;
+const fencedKept = 64;
 /** A refused key is free again after so long by its edge's own clock: less than the shortest Retry-After (§5.4). */
 const refusedQuiet = us.ms(900);
 const largestKept = 65_536;
+/** The reply of a turn that is kept under this mark. */
+const replyOf = (v: Kept | undefined, mark: string): { content?: unknown } | undefined => {
+  const end = v?.ends?.[v.marks.indexOf(mark)] ?? 0;
+  return end > 0 ? (v!.messages[end - 1] as { content?: unknown } | undefined) : undefined;
+};
 /** What stands in place of a result that is too large to be kept; a copy is told that its outcome is not known. */
 const tooLarge = (d: Done | Answer): Done | Answer =>
   'type' in d ? { ...d, body: '', type: 'too-large' } : { status: 0, headers: [], body: '' };
@@ -169,7 +180,11 @@
         ),
       settle: (a, turn, e, left) => purseChange(a, (was) => dues.settle(was, { turn, ...e }), left),
       giveBack: (a, turn) => purseChange(a, (was) => dues.giveBack(was, turn), us.ms(800)).catch(() => undefined),
-      kept: (conversation, left) => regs.read(keys.conv(conversation), left) as Promise<Kept | undefined>,
+      kept: async (conversation, left) => {
+        const v = (await regs.read(keys.conv(conversation), left)) as Kept | undefined;
+        // One that holds nothing but a fence is not there yet.
+        return v?.messages.length ? v : undefined;
+      },
       append: async (p, turn, base, said, left) => {
         const mark = p.key === null ? turn : keys.once(keyOf(p));
         const ok = await regs.change<boolean>(
@@ -179,8 +194,11 @@
             if (was.marks.includes(mark)) return { keep: true, result: true };
             // The reply belongs to what its worker was given: another turn kept since then leaves no place for it.
             if (was.messages.length !== base) return { keep: true, result: false };
+            // Its caller was told that its outcome is not known, and may have sent the message under another key.
+            if (was.fenced?.includes(mark)) return { keep: true, result: false };
             const messages = [...was.messages, ...said];
             const next: Kept = {
+              ...was,
               messages,
               marks: [...was.marks, mark].slice(-marksKept),
               ends: [...(was.ends ?? was.marks.map(() => -1)), messages.length].slice(-marksKept),
@@ -189,13 +207,26 @@
           },
           left,
         );
-        if (!ok) throw fault.make({ step: 'append' }, 'another turn was kept meanwhile');
+        if (!ok) throw fault.make({ step: 'append' }, 'another turn was kept meanwhile, or this one was fenced');
       },
       keptReply: async (p, left) => {
         if (p.kind !== 'chat' || p.conversation === null) return undefined;
-        const v = (await regs.read(keys.conv(p.conversation), left)) as Kept | undefined;
-        const end = v?.ends?.[v.marks.indexOf(keys.once(keyOf(p)))] ?? 0;
-        return end > 0 ? (v!.messages[end - 1] as { content?: unknown } | undefined) : undefined;
+        return replyOf((await regs.read(keys.conv(p.conversation), left)) as Kept | undefined, keys.once(keyOf(p)));
+      },
+      fence: async (p, left) => {
+        if (p.kind !== 'chat' || p.conversation === null) return undefined;
+        const mark = keys.once(keyOf(p));
+        return regs.change<{ content?: unknown } | undefined>(
+          keys.conv(p.conversation),
+          (v, w, promised) => {
+            const was = (v as Kept | undefined) ?? { messages: [], marks: [] };
+            if (was.marks.includes(mark) || was.fenced?.includes(mark))
+              return { keep: true, result: replyOf(was, mark) };
+            const next: Kept = { ...was, fenced: [...(was.fenced ?? []), mark].slice(-fencedKept) };
+            return { held: { value: next, until: until(w, promised, p.of.keepSeconds) }, result: undefined };
+          },
+          left,
+        );
       },
     };
   },
--- a/packages/fairway/src/edge.ts
+++ b/packages/fairway/src/edge.ts
@@ -67,13 +67,15 @@
   if (!n || n.standing === 'dead') return false;
   return x.askOpen(n.place, once.turn).catch(() => true);
 };
+const keptResult = (kept: { content?: unknown } | undefined): Done | undefined =>
+  typeof kept?.content === 'string'
+    ? { status: 200, type: 'chat', body: kept.content, finish: null, prompt: 0, completion: 0 }
+    : undefined;
 /** A result that was recorded, or that the turn left in its conversation. */
 const recorded = async (x: Edge, p: Chat | Job, once: Once): Promise<Done | undefined> => {
   const done = once.done as Done | null;
   if (done && done.type !== 'too-large') return done;
-  const kept = await x.books.keptReply(p, us.ms(600)).catch(() => undefined);
-  if (typeof kept?.content !== 'string') return undefined;
-  return { status: 200, type: 'chat', body: kept.content, finish: null, prompt: 0, completion: 0 };
+  return keptResult(await x.books.keptReply(p, us.ms(600)).catch(() => undefined));
 };
 const replay = (x: Edge, p: Chat | Job, say: HttpSay, d: Done): void => {
   x.bump('replayed');
@@ -90,7 +92,7 @@
   }
 };
 /** The result for a copy of a request whose key is taken (§5.4). */
-const repeated = async (x: Edge, p: Chat | Job, say: HttpSay, once: Once): Promise<void> => {
+const repeated = async (x: Edge, p: Chat | Job, say: HttpSay, once: Once, end: Us): Promise<void> => {
   if (once.sum !== undefined && once.sum !== p.sum) {
     const message = 'this key came with another request before';
     const body = { error: 'key_reused', field: 'idempotency-key', message, ran: 'unknown' };
@@ -100,6 +102,17 @@
   if (d) return replay(x, p, say, d);
   if (!once.done && (await stillOpen(x, once)))
     return x.say.reject(say, 409, 'in_progress', 'a request with this key is being served', 'unknown', 1);
+  // Its edge may only seem dead, and what it wrote may be on its way. The caller is going to look at what is kept, and
+  // to send the message under another key if it is not there: from here on it does not come any more (§5.5).
+  let late: Done | undefined;
+  try {
+    late = keptResult(await x.books.fence(p, Math.min(us.ms(600), Math.max(us.ms(50), end - x.lens.clock.now()))));
+  } catch (e) {
+    x.lens.log('fairway')(`a turn could not be fenced: ${fault.text(e)}.`);
+    const why = 'whether the turn with this key is kept could not be settled by a majority';
+    return x.say.reject(say, 503, 'no_keepers', why, 'unknown', x.say.backoff());
+  }
+  if (late) return replay(x, p, say, late);
   const text = 'a request with this key was sent and its outcome is not known';
   return x.say.reject(say, 409, 'outcome_unknown', text, 'unknown', null);
 };
@@ -115,6 +128,7 @@
   const { x, p } = r;
   if (p.key === null) return 'again';
   if (x.mooring.stale()) return no('this node has just woken: the request may be an old copy', 'stale');
+  const end = x.lens.clock.now() + left;
   let c: Claimed;
   try {
     c = await x.books.claim(keyOf(p), turn, Math.max(us.ms(50), left));
@@ -125,6 +139,6 @@
   r.claimed = c.ok;
   if (c.ok) return 'again';
   r.st.go('reject');
-  await repeated(x, p, r.say, c.once);
+  await repeated(x, p, r.say, c.once, end);
   return 'done';
 };
--- a/packages/fog/src/guards.ts
+++ b/packages/fog/src/guards.ts
@@ -128,6 +128,14 @@
       ['fairway/src/books.js', 'if (was.messages.length !== base)', 'if (false)'],
     ],
   ),
+  g(
+    'a turn told to be of unknown outcome does not come afterwards',
+    '6 kept',
+    'fairway/src/books.js',
+    'if (was.fenced?.includes(mark))',
+    'if (false)',
+    { test: 'fog/test/keep.test.js' },
+  ),
   g(
     'what was promised is not cut',
     '6 kept',
--- a/packages/fog/test/keep.test.ts
+++ b/packages/fog/test/keep.test.ts
@@ -2,7 +2,8 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { us, type Place } from '@thornsail/lens';
-import { fleet, type Fleet } from '@thornsail/fog';
+import { fleet, world, type Fleet } from '@thornsail/fog';
+import { callers, classNames } from '@thornsail/roadstead';
 
 type Reply = { status: number; body: Record<string, unknown>; headers: Record<string, string> };
 const settled = async <T>(f: Fleet, work: Promise<T>): Promise<T> => {
@@ -88,6 +89,95 @@
   assert.ok(cut >= 3, 'most were to be cut off');
 });
 
+test('a kept turn told to be of unknown outcome does not come afterwards: what is kept decides', async () => {
+  let late = 0;
+  for (let seed = 1; seed <= 6; seed++) {
+    const f = await fleet.open({ seed, shape: 'lautoka' });
+    const others = f.procs.filter((p) => p.role !== 'keeper' && p.name !== 'front-edge1').map((p) => p.name);
+    const first = f
+      .http(
+        at(f, 1),
+        'POST',
+        '/v1/chat/completions',
+        { messages: [{ role: 'user', content: 'look at the pump' }], max_tokens: 8, stream: false },
+        {
+          'x-thornsail-program': 'p1',
+          'x-thornsail-class': 'tutor',
+          'x-thornsail-conversation': 'c1',
+          'idempotency-key': 'k1',
+        },
+      )
+      .then((r) => r.status)
+      .catch(() => 0);
+    // Its edge sleeps from some moment between its sending and its end, and is taken for dead meanwhile.
+    while (!f.ledger.entries.some((e) => (seed > 4 ? e.ended : true))) await f.w.run(f.w.now() + us.ms(0.2));
+    await f.w.run(f.w.now() + us.ms(seed % 3));
+    const woke = f.w.now() + us.s(6);
+    f.freeze('front-edge1', us.s(6));
+    const heal = f.cut(['front-edge1'], others);
+    let told: unknown;
+    while (told !== 'outcome_unknown' && f.w.now() < woke - us.s(1)) {
+      const r = await chat(f, 2, 'look at the pump', { 'idempotency-key': 'k1' });
+      told = r.status === 200 ? 'kept' : r.body['error'];
+      if (told === 'kept') break;
+      await f.w.run(f.w.now() + us.ms(300));
+    }
+    assert.ok(told === 'outcome_unknown' || told === 'kept', `seed ${seed}: ${String(told)}`);
+    const was = await settled(f, f.http(at(f, 3), 'GET', '/v1/conversations/c1'));
+    assert.is(was.status, told === 'kept' ? 200 : 404, `seed ${seed}`);
+    await f.w.run(woke + us.s(2));
+    heal();
+    if (told === 'outcome_unknown') {
+      late += 1;
+      assert.is((await chat(f, 4, 'look at the pump', { 'idempotency-key': 'k2' })).status, 200, `seed ${seed}`);
+      assert.is(await settled(f, first), 0, `seed ${seed}: its caller took it for kept`);
+    }
+    assert.equal(
+      (await kept(f, 5)).map((m) => m.role),
+      ['user', 'assistant'],
+      `seed ${seed}`,
+    );
+    assert.equal(f.breaches(), []);
+  }
+  assert.ok(late >= 3, 'most were to be told that the outcome is unknown');
+});
+
+test('a caller sends a message under another key only once it is known that it is not kept', async () => {
+  const w = world.open({ seed: 1, zoneDelay: us.ms(2), clientDelay: us.ms(1), clientIp: '10.9.0.1' });
+  const [client, server] = [w.lens(w.host('10.0.0.1', 'a')), w.lens(w.host('10.0.0.2', 'b'))];
+  const keys: string[] = [];
+  let recalls = 0;
+  const place = '10.0.0.2:80';
+  await server.net.serve(
+    place,
+    async (ask, say) => {
+      if (ask.method === 'POST') keys.push(String(ask.headers['idempotency-key']));
+      else recalls += 1;
+      // Nobody can say for 25 s, then it is known.
+      const known = ask.method === 'GET' && w.now() > us.s(25);
+      say.head(ask.method === 'POST' ? 409 : known ? 404 : 503, { 'content-type': 'application/json' });
+      say.end(JSON.stringify({ error: ask.method === 'POST' ? 'outcome_unknown' : 'none', ran: 'unknown' }));
+    },
+    65_536,
+  );
+  const c = callers.open({
+    lens: client,
+    rand: { ...client.rand, next: () => 0.5 },
+    fronts: () => [place],
+    classes: classNames.lautoka,
+    chatTimeLeft: 8000,
+    pushTimeLeft: 2000,
+    gap: us.ms(400),
+    excused: () => false,
+    stalls: false,
+  });
+  let over = false;
+  void c.chat({ turns: 1, kept: true, program: 'p' }).then(() => (over = true));
+  while (!over && w.now() < us.s(120)) await w.run(w.now() + us.s(1));
+  assert.ok(over && recalls > 40);
+  assert.equal(keys, ['p.0.0', 'p.0.0', 'p.0.0', 'p.0.1', 'p.0.2']);
+});
+
 test('a conversation grows up to its bound, then says so at once and plainly; it can still be read', async () => {
   const f = await fleet.open({
     seed: 2,
--- a/packages/roadstead/src/callers.ts
+++ b/packages/roadstead/src/callers.ts
@@ -270,12 +270,12 @@
       }
       return undefined;
     };
-    /** The reply to a message that was sent and whose outcome is not known, if it is kept. */
-    const keptReply = async (conversation: string, user: Message): Promise<string | undefined> => {
+    /** The reply to a message that was sent and whose outcome is not known: kept, not kept, or nobody could say. */
+    const keptReply = async (conversation: string, user: Message): Promise<{ reply: string | null } | undefined> => {
       const all = await recall(conversation);
-      if (!Array.isArray(all)) return undefined;
-      const i = all.findIndex((m) => m.role === 'user' && m.content === user.content);
-      return i < 0 ? undefined : all[i + 1]?.content;
+      if (all === undefined) return undefined;
+      const i = all === 'missing' ? -1 : all.findIndex((m) => m.role === 'user' && m.content === user.content);
+      return { reply: i < 0 ? null : (all[i + 1] as Message).content };
     };
     /** One turn with its retries, as a client would: another node, the same key; a new one only if it did not run. */
     const insist = async (a: Ask, user: Message, keyed: boolean): Promise<Turn> => {
@@ -286,9 +286,10 @@
         if (r.ok || r.why === 'budget_spent') return r;
         a.at = front();
         if (r.why === 'outcome_unknown' && keyed) {
-          const content = await keptReply(a.conversation!, user);
-          if (content !== undefined) return { ok: true, content, waited: r.waited };
-          tries += 1;
+          const there = await keptReply(a.conversation!, user);
+          if (typeof there?.reply === 'string') return { ok: true, content: there.reply, waited: r.waited };
+          // Another key only once it is known that the message is not kept (§5.5).
+          if (there) tries += 1;
         }
         await time.sleep(clock, (r.retry ?? us.ms(300)) + rand.int(us.ms(200)));
       }
