Capacity: the size to design for, worked out from measured slopes

Cause: the users gave the size of their next two years; nothing said where today's mechanisms end on the way there.

What was done: hollow nodes (the real roles without traffic, on the simulated net and on real sockets) whose frames are counted by kind; slopes from four to five sizes each of bytes, messages, processor time and memory; slope times size against what a node may spend; the ways weighed, by the same arithmetic.

Ruled out: carrying the hollow fleet itself to the size. 198 processes come into one roster within a minute of processor time, 390 do not.

Found on the way: with 160 fronts or more a core that is cut off from three fifths of them acknowledges a change, since the roster names 64 dead nodes only; with 80 it does not. Not mended here.

Conclusion: first places lent to fronts, then differences instead of whole versions and lists, then many keeper groups.

--- /dev/null
+++ b/packages/fog/src/hollow-cli.ts
@@ -0,0 +1,9 @@
+// node packages/fog/src/hollow-cli.js EDGES SECONDS: hollow nodes on real sockets, in a process of their own that ends
+// by itself (docs/CAPACITY.md).
+import { us } from '@thornsail/lens';
+import { realHollow } from './hollow.js';
+
+setTimeout(() => process.exit(3), 90_000).unref();
+const [edges, seconds] = process.argv.slice(2).map(Number);
+process.stdout.write(`${JSON.stringify(await realHollow(edges ?? 1, us.s(seconds ?? 5)))}\n`);
+process.exit(0);
--- a/packages/fog/src/measure-cli.ts
+++ b/packages/fog/src/measure-cli.ts
@@ -5,7 +5,9 @@
 import { pipe } from '@thornsail/pipe';
 import type { ShapeName } from '@thornsail/roadstead';
 import { watch, type Duty } from '@thornsail/watch';
+import { capacity } from './capacity.js';
 import { fleet, type Fleet } from './fleet.js';
+import { measure } from './measure-capacity.js';
 import { scenarios } from './scenarios.js';
 import { world } from './world.js';
 
@@ -515,6 +517,10 @@
     }
   for (const [k, r] of worst) row(k.replace(/_ms$/, '').replaceAll('_', ' '), r['lautoka'] ?? 0, r['granite'] ?? 0);
 };
+parts['capacity'] = async () => {
+  out('\n### Capacity: slopes, and the size to design for (docs/CAPACITY.md)');
+  capacity.print(await measure('whole'), out);
+};
 const only = process.argv.slice(2);
 for (const o of only)
   if (!Object.hasOwn(parts, o)) {
