--- a/packages/fog/src/capacity.ts
+++ b/packages/fog/src/capacity.ts
@@ -114,8 +114,8 @@
 
 /** One row of what a role holds or says; `breaks` says at which size it passes what is allowed. */
 export type Need = { role: string; what: string; by: string; value: string; part: string; breaks: string };
-const ofAllowed = (value: number, most: number): string =>
-  value >= 10 * most ? `${figure(value / most)} times` : `${figure((100 * value) / most)}%`;
+const ofAllowed = (value: number, most: number, what: string): string =>
+  value >= 10 * most ? `${figure(value / most)} × ${what}` : `${figure((100 * value) / most)}% of ${what}`;
 
 /** The slopes by name, and what they come to. */
 type Known = {
@@ -156,14 +156,15 @@
 export const reckon = (slopes: Slope[]): Need[] => {
   const k = known(slopes);
   const { at, slope } = k;
-  const from = (n: number, of: string): string => (n < 1 ? 'from the first' : `from ${figure(n)} ${of}`);
+  const from = (n: number, of: string): string =>
+    n < 1 ? 'from the first' : `from ${figure(n < 1000 ? Math.ceil(n) : n)} ${of}`;
   const rows: Need[] = [];
   const add = (role: string, what: string, by: string, value: string, part: string, breaks: string): void =>
     void rows.push({ role, what, by, value, part, breaks });
   /** What does not grow breaks at any size, or at none. */
   const end = (value: number, most: number, breaks = 'from the first'): string => (value <= most ? 'holds' : breaks);
   const rate = (role: string, what: string, by: string, value: number, breaks?: string): void => {
-    const part = `${ofAllowed(value, allowed.bytes)} of 12 KB/s`;
+    const part = ofAllowed(value, allowed.bytes, '12 KB/s');
     add(role, what, by, amount(value, 'B/s'), part, end(value, allowed.bytes, breaks));
   };
   const time = (role: string, what: string, by: string, value: number, breaks?: string): void =>
@@ -172,7 +173,7 @@
       what,
       by,
       ofCore(value),
-      `${ofAllowed(value, allowed.cpu)} of 2.7% of a core`,
+      ofAllowed(value, allowed.cpu, '2.7% of a core'),
       end(value, allowed.cpu, breaks),
     );
   const held = (role: string, what: string, by: string, value: number, breaks?: string): void =>
@@ -181,7 +182,7 @@
       what,
       by,
       amount(value, 'B'),
-      `${ofAllowed(value, allowed.memory)} of 32 MB`,
+      ofAllowed(value, allowed.memory, '32 MB'),
       end(value, allowed.memory, breaks),
     );
   const free = (role: string, what: string, by: string, value: string, part = '', breaks = ''): void =>
@@ -212,7 +213,7 @@
     const bytes = versionBytes(k, routes);
     const name = `a version with ${figure(routes)} routes`;
     const most = (allowed.bytes * day) / (copies * bytes);
-    free('tower', name, 'processes, classes, routes', amount(bytes, 'B'), `${ofAllowed(bytes, 2 ** 24)} of a frame`);
+    free('tower', name, 'processes, classes, routes', amount(bytes, 'B'), ofAllowed(bytes, 2 ** 24, 'a frame'));
     rate(
       'node',
       `${name}, sent whole`,
@@ -227,7 +228,7 @@
   }
   const uses = (4 * at('what fronts say of one change, at a process') * size.changes) / day;
   const usesMost = (size.nodes * allowed.bytes) / uses;
-  rate('node', 'fronts that say what they use', 'fronts × changes', uses, from(usesMost, 'fronts'));
+  rate('node', 'acknowledgements of fronts', 'fronts × changes', uses, from(usesMost, 'fronts'));
 
   // Processor time.
   const round = at('a round of heartbeats');
@@ -280,7 +281,7 @@
   const cold = at('a cold start, at the busiest seed');
   free('seed', 'a cold start of all', 'processes²', amount(cold, 'B'), `${figure(cold / 1.25e9)} s of 10 Gbit/s`);
   const inForce = 2 * at('news down the tree, 30 ms a hop') + 2 * taken.regionMs;
-  const inForceOf = `${ofAllowed(inForce, size.inForceMs)} of 6 s`;
+  const inForceOf = ofAllowed(inForce, size.inForceMs, '6 s');
   free(
     'tower',
     'a change in force, 30 ms a hop',
@@ -321,7 +322,7 @@
   const [claim, charge] = ['a first change of a register', 'a further change by the same edge'];
   const before = at(claim!) + at(charge!) + 2 * taken.regionMs;
   const allOf = from(size.firstTokenMs / (slope(claim!) + slope(charge!) + 2), 'ms one way: all of it');
-  const beforeOf = `${ofAllowed(before, size.firstTokenMs)} of 820 ms`;
+  const beforeOf = ofAllowed(before, size.firstTokenMs, '820 ms');
   free('front', 'claim, charge, chain across regions', 'ms one way', `${figure(before)} ms`, beforeOf, allOf);
   return rows;
 };
@@ -335,7 +336,7 @@
   const versions = k.at('versions when processes are lost at once');
   const step = 2 * taken.regionMs + 10;
   const zoneBytes = versions * versionCopies(k) * versionBytes(k, taken.routes[0]);
-  const differences = (2 * all * k.slope('the list of workers')) / day;
+  const deltas = (2 * all * k.slope('the list of workers')) / day;
   const hour = (size.requests / size.regions) * 3600;
   const reserved = size.history * taken.bytesPerToken;
   const within = minutes.join(', ');
@@ -346,7 +347,7 @@
     [`out of service at any moment, of all, if each is for ${within} minutes`, gone(all)],
     ['the same, our own by share', gone(all * lostShare)],
     ['changes of the list of workers a second', figure((2 * all) / day)],
-    ['the same as differences, to each node', amount(differences, 'B/s')],
+    ['the same as deltas, to each node', amount(deltas, 'B/s')],
     ['versions a day for our own, by share', figure(versionsForOurs)],
     ['versions a day, if all were our own', figure(4 * all)],
     ['a lost zone: nodes, processes, workers', [zone, 2 * zone, size.workers / size.zones].map(figure).join(', ')],
@@ -358,7 +359,7 @@
     ["a region's hour, one core: fronts that refuse", figure(region)],
     ["a region's hour, one core: processes ruled dead", `${figure(2 * region)}, of which the roster names 64`],
     ["a region's hour, one core: requests refused", `up to ${figure(hour)}`],
-    ["a region's hour, homes by region, 1 in 100 away", `${figure(hour / 100)} refused on each side`],
+    ["a region's hour, home regions, 1 in 100 programs away", `${figure(hour / 100)} refused on each side`],
   ];
 };
 /** The ways that were weighed, by what each sends or costs at the size; the first of each is today's. */
@@ -379,17 +380,17 @@
     'each front to each, whole, ten a second',
     2 * at('load while turns change') * at('a load message, by turns that run'),
   );
-  bytes(load, 'each front to each, only what began or ended', 2 * 2 * size.requests * perTurn);
-  bytes(load, 'one sum for all workers a second, from an adder in each region', size.workers * perTurn);
-  const lent = (seconds: number): number => (2 * perTurn * slots) / size.nodes / seconds;
-  bytes(load, 'slots lent to fronts for 10 s, renewed', lent(10));
-  bytes(load, 'slots lent to fronts for 30 s, renewed', lent(30));
+  bytes(load, 'each front to each, only deltas', 2 * 2 * size.requests * perTurn);
+  bytes(load, 'one sum for all workers a second, from an aggregator in each region', size.workers * perTurn);
+  const leased = (seconds: number): number => (2 * perTurn * slots) / size.nodes / seconds;
+  bytes(load, 'slots leased to fronts for 10 s, renewed', leased(10));
+  bytes(load, 'slots leased to fronts for 30 s, renewed', leased(30));
 
   const list = 'the list of workers';
   const changed = (2 * (size.failed + size.restarted) * slope('the list of workers')) / day;
   bytes(list, 'whole, every 1.5 s', at('the list of workers, at a node'));
   bytes(list, 'whole, when it changes', (at('the list of workers') * 4 * 2 * (size.failed + size.restarted)) / day);
-  bytes(list, 'differences, and the whole on a gap', 4 * changed);
+  bytes(list, 'deltas, and the whole on a gap', 4 * changed);
 
   const state = 'versions';
   const copies = versionCopies(k);
@@ -402,12 +403,12 @@
     'roster apart from the configuration, both whole, 9900 routes',
     sent(versionBytes(k, taken.routes[1]) - at('a version, by roster')),
   );
-  bytes(state, 'differences, and the whole on a gap', sent(route));
+  bytes(state, 'deltas, and the whole on a gap', sent(route));
 
-  const say = 'what fronts use';
+  const say = 'acknowledgements of fronts';
   const uses = (4 * at('what fronts say of one change, at a process') * size.changes) / day;
   bytes(say, 'each tells everybody', uses);
-  bytes(say, 'relays tell the lowest below them upwards', (copies * 250 * size.changes) / day);
+  bytes(say, 'aggregated: relays tell the lowest mark below them upwards', (copies * 250 * size.changes) / day);
 
   // Together: what is idle today, and the ways that hold.
   const together = 'all control of a node';
@@ -416,9 +417,9 @@
   const restAll = rest + header * at('frames at a node, idle, the rest');
   const others = 4 * changed + sent(route) + (copies * 250 * size.changes) / day;
   bytes(together, 'two processes that beat five times a second, and nothing runs', 2 * beats + restAll);
-  bytes(together, 'the same with what holds of the above, slots for 30 s', 2 * beats + restAll + others + lent(30));
-  bytes(together, 'one process of a node beats for both', beats + restAll + others + lent(30));
-  bytes(together, 'and only every 0.4 s (beatMs)', beats / 2 + restAll + others + lent(30));
+  bytes(together, 'the same with what holds of the above, leases of 30 s', 2 * beats + restAll + others + leased(30));
+  bytes(together, 'one process of a node beats for both', beats + restAll + others + leased(30));
+  bytes(together, 'and only every 0.5 s (silence after 2.5 s)', (beats * 2) / 5 + restAll + others + leased(30));
 
   const ring = 'watchers on the ring';
   const round = at('a round of heartbeats');
@@ -434,12 +435,12 @@
   plain(keys, 'one group of three, each on one core', `${figure(cores)} cores each`, cores <= 1);
   plain(
     keys,
-    'a log for each shard, led, three copies',
+    'a replicated log with a leader for each shard',
     `${figure(cores)} cores, and a second without a leader`,
     false,
   );
   const many = `${figure(processes / 3)} groups, ${figure(processes)} processes, ${figure(perMachine)} a machine`;
-  plain(keys, 'many groups by the hash of the program, in its home region', many, true);
+  plain(keys, 'sharded: many groups, by the hash of the program, in its home region', many, true);
   const disk = 3 * size.programs * size.history * taken.bytesPerToken;
   plain(keys, 'kept turns in memory, three copies', `${amount(disk / size.control, 'B')} a machine`, false);
   plain(keys, 'kept turns on disk, three copies', `${amount(disk / size.control, 'B')} a machine`, true);
--- a/packages/fog/src/hollow.ts
+++ b/packages/fog/src/hollow.ts
@@ -208,7 +208,7 @@
       }),
     );
     const wait = (t: Us): Promise<void> => new Promise((fin) => void setTimeout(fin, t / 1000));
-    for (let i = 0; i < 100 && !inRoster(nodes); i++) await wait(us.ms(200));
+    for (let i = 0; i < 400 && !inRoster(nodes); i++) await wait(us.ms(50));
     await push(nodes[0]!, 0).catch(() => undefined);
     await wait(span / 3);
     const before = process.cpuUsage();
--- a/packages/fog/test/capacity.test.ts
+++ b/packages/fog/test/capacity.test.ts
@@ -32,6 +32,11 @@
     assert.ok(Math.abs(fit.reaches(f, laws[shape](50)) / 50 - 1) < 1e-9, shape);
     assert.ok(f.r2 > 0.999999, shape);
   }
+  const flat = fit.of(
+    [1, 2, 3, 4].map((x): Point => [x, x % 2 ? 9 : 11]),
+    'flat',
+  );
+  assert.equal([fit.at(flat, 1), fit.at(flat, 1e6), fit.reaches(flat, 20)], [10, 10, Infinity]);
   const falling: Point[] = [1, 2, 3, 4].map((x) => [x, 10 - x]);
   assert.is(fit.reaches(fit.of(falling, 'line'), 20), Infinity);
   const spread: Point[] = [1, 2, 3, 4].map((x) => [x, x % 2 ? 10 : 1]);
