--- a/packages/signal/src/control.ts
+++ b/packages/admin-api/src/control.ts
@@ -1,7 +1,7 @@
 // What an operator may ask, without the words of any interface (§7.3): our own HTTP and others' are put on top of it.
-import { fault, time, us, type Lens } from '@thornsail/lens';
-import type { Mooring } from '@thornsail/mooring';
-import { type Member, type NodeEntry, type Ordered, type Push, type PushResult } from '@thornsail/tower';
+import { fault, time, us, type Lens } from '@thornsail/runtime';
+import type { Mooring } from '@thornsail/membership';
+import { type Member, type NodeEntry, type Ordered, type Push, type PushResult } from '@thornsail/consensus';
 
 export type ReadResult<News = unknown> = { state: Ordered; view: number; members: Member[]; news: News | null };
 export type DrainState = 'unknown' | 'too-few' | 'not draining' | 'waiting' | 'copying' | 'safe';
--- a/packages/signal/src/index.ts
+++ b/packages/admin-api/src/index.ts
@@ -1,12 +1,12 @@
 // signal: what operators ask of any node over HTTP (§7.3). Agreed results carry the mark they were read at;
 // a node that cannot give the agreed result says so.
-import { chart } from '@thornsail/chart';
-import { dues, type Purse } from '@thornsail/dues';
-import { fault, us, type HttpAsk, type HttpHandler, type HttpSay, type Lens, type Place } from '@thornsail/lens';
-import type { Registers } from '@thornsail/keeper';
-import type { Mooring } from '@thornsail/mooring';
-import type { Pipe } from '@thornsail/pipe';
-import { order, type Ordered, type Push } from '@thornsail/tower';
+import { chart } from '@thornsail/config-schema';
+import { dues, type Purse } from '@thornsail/token-budget';
+import { fault, us, type HttpAsk, type HttpHandler, type HttpSay, type Lens, type Place } from '@thornsail/runtime';
+import type { Registers } from '@thornsail/register-store';
+import type { Mooring } from '@thornsail/membership';
+import type { Pipe } from '@thornsail/rpc';
+import { order, type Ordered, type Push } from '@thornsail/consensus';
 import { control, drainState, type ReadResult as Read } from './control.js';
 
 export type NewsResult = {
--- a/packages/pilotage/src/index.ts
+++ b/packages/admission-scheduler/src/index.ts
@@ -1,6 +1,6 @@
 // pilotage: the ThunderAgent program scheduler (§4), pure: (state, event, now) -> effects.
 // The state handed in is consumed and handed back changed; no clock, no random source, no input or output.
-import { invariant, us, type Us } from '@thornsail/lens';
+import { invariant, us, type Us } from '@thornsail/runtime';
 
 /** Values of §4.1; times in whole microseconds. */
 export type Options = {
--- a/packages/pilotage/test/pilotage.test.ts
+++ b/packages/admission-scheduler/test/pilotage.test.ts
@@ -1,7 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { seeded, us } from '@thornsail/lens';
-import { pilotage, type Effect, type Options, type State } from '@thornsail/pilotage';
+import { seeded, us } from '@thornsail/runtime';
+import { pilotage, type Effect, type Options, type State } from '@thornsail/admission-scheduler';
 
 const open = (o: Partial<Options> = {}, workers = [{ id: 'a', capacity: 1000, eligible: true }]): State => {
   const s = pilotage.open({ ...pilotage.defaults(), ...o }, 0);
--- a/packages/chart/src/index.ts
+++ b/packages/config-schema/src/index.ts
@@ -2,7 +2,7 @@
 import * as t from 'io-ts';
 import fastJsonPatch, { type Operation } from 'fast-json-patch';
 import { apply as mergePatch } from 'json-merge-patch';
-import { place } from '@thornsail/lens';
+import { place } from '@thornsail/runtime';
 import { check, match, oneOf, range, sealed, whole, type Problem } from './codec.js';
 
 export type { Problem } from './codec.js';
--- a/packages/chart/test/chart.test.ts
+++ b/packages/config-schema/test/chart.test.ts
@@ -2,8 +2,8 @@
 import { fileURLToPath } from 'node:url';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { chart } from '@thornsail/chart';
-import { shapes } from '@thornsail/roadstead';
+import { chart } from '@thornsail/config-schema';
+import { shapes } from '@thornsail/test-harness';
 
 const examples = new URL('../../../examples/', import.meta.url);
 test('the shipped examples and the stand-in shapes are valid', () => {
--- a/packages/tower/src/client.ts
+++ b/packages/consensus/src/client.ts
@@ -1,6 +1,6 @@
 // How any node reaches the core (§3.3): the head it knew last, then where it is sent, then the others in turn.
-import { fault, time, us, type Lens, type Place, type Us } from '@thornsail/lens';
-import type { Pipe } from '@thornsail/pipe';
+import { fault, time, us, type Lens, type Place, type Us } from '@thornsail/runtime';
+import type { Pipe } from '@thornsail/rpc';
 import type { CoreAsk, CoreResult } from './core.js';
 
 export type CoreClient = { ask: <T>(a: CoreAsk, timeLeft?: Us) => Promise<{ seq: number; value: T }> };
--- a/packages/tower/src/core.ts
+++ b/packages/consensus/src/core.ts
@@ -1,8 +1,8 @@
 // The core (§3.3): serves the operations that change what the towers order, and the duties of its head:
 // forming the keeper group, ruling on suspicions, replacing lost members one at a time.
-import { fault, time, us, type Lens, type Place, type Us } from '@thornsail/lens';
-import type { Logbook } from '@thornsail/logbook';
-import { shape, type Pipe } from '@thornsail/pipe';
+import { fault, time, us, type Lens, type Place, type Us } from '@thornsail/runtime';
+import type { Logbook } from '@thornsail/durable-files';
+import { shape, type Pipe } from '@thornsail/rpc';
 import { isNode, order, type NodeEntry, type Ordered, type Push, type PushResult } from './order.js';
 import { views, type Marked, type Views } from './views.js';
 
--- a/packages/tower/src/order.ts
+++ b/packages/consensus/src/order.ts
@@ -1,7 +1,7 @@
 // What the towers order (§3.3): the configuration, the roster of nodes and the keeper group; pure changes on it.
-import { chart, type Config, type Problem } from '@thornsail/chart';
-import { invariant, place, type Place, type Us } from '@thornsail/lens';
-import { shape } from '@thornsail/pipe';
+import { chart, type Config, type Problem } from '@thornsail/config-schema';
+import { invariant, place, type Place, type Us } from '@thornsail/runtime';
+import { shape } from '@thornsail/rpc';
 import { isMarked, type Marked, type Member } from './views.js';
 
 export type NodeRole = 'tower' | 'keeper' | 'pilot' | 'front';
--- a/packages/tower/src/views.ts
+++ b/packages/consensus/src/views.ts
@@ -2,9 +2,9 @@
 // each member syncs it, a majority makes it done. A view change stops the members, trims what was not
 // done by any majority, and goes on from the newest version that could have been.
 import { createMachine, interpret, state as st, transition } from 'robot3';
-import { fault, invariant, lock, place, time, us, type Lens, type Place, type Us } from '@thornsail/lens';
-import { logbook, type Logbook } from '@thornsail/logbook';
-import { shape, type Pipe } from '@thornsail/pipe';
+import { fault, invariant, lock, place, time, us, type Lens, type Place, type Us } from '@thornsail/runtime';
+import { logbook, type Logbook } from '@thornsail/durable-files';
+import { shape, type Pipe } from '@thornsail/rpc';
 
 export type Member = { id: string; at: Place };
 export type Marked<S> = { view: number; seq: number; members: Member[]; state: S };
--- a/packages/fairway/src/admission.ts
+++ b/packages/data-plane/src/admission.ts
@@ -9,11 +9,11 @@
   type Berths,
   type Load,
   type WorkerEntry,
-} from '@thornsail/berth';
-import { serviceOf, type Config } from '@thornsail/chart';
-import { time, us, wholeText, type Lens, type Stop, type Us } from '@thornsail/lens';
+} from '@thornsail/load-balancer';
+import { serviceOf, type Config } from '@thornsail/config-schema';
+import { time, us, wholeText, type Lens, type Stop, type Us } from '@thornsail/runtime';
 import { likely, type Likely } from './likely.js';
-import { pilotage, type Effect, type Event, type Options, type State, type Why } from '@thornsail/pilotage';
+import { pilotage, type Effect, type Event, type Options, type State, type Why } from '@thornsail/admission-scheduler';
 
 export type EdgeLoad = {
   load: Load;
--- a/packages/fairway/src/books.ts
+++ b/packages/data-plane/src/books.ts
@@ -1,9 +1,9 @@
 // What a turn writes down (§5.3 to §5.5): the claim of its key, the program's purse, the kept conversation.
 // Each is one register, changed by compare-and-set.
-import type { Config } from '@thornsail/chart';
-import { dues, type Purse } from '@thornsail/dues';
-import { fault, time, us, type Lens, type Us } from '@thornsail/lens';
-import type { Registers, Walls, Write } from '@thornsail/keeper';
+import type { Config } from '@thornsail/config-schema';
+import { dues, type Purse } from '@thornsail/token-budget';
+import { fault, time, us, type Lens, type Us } from '@thornsail/runtime';
+import type { Registers, Walls, Write } from '@thornsail/register-store';
 import type { Plan } from './plan.js';
 
 export type Chat = Plan & { kind: 'chat' };
--- a/packages/fairway/src/chat.ts
+++ b/packages/data-plane/src/chat.ts
@@ -1,6 +1,6 @@
 // Carrying out a turn of a program (§5.1), a function for each stage: claim, context, admission, slot, charge, send.
-import { formats, type WorkerEntry } from '@thornsail/berth';
-import { fault, invariant, us, type HttpSay, type Us } from '@thornsail/lens';
+import { formats, type WorkerEntry } from '@thornsail/load-balancer';
+import { fault, invariant, us, type HttpSay, type Us } from '@thornsail/runtime';
 import type { Released } from './admission.js';
 import { accountOf, keyOf, type Charged, type Chat } from './books.js';
 import { claimKey, silenceLimit, slotLimit, untilRoom, worker, type Edge } from './edge.js';
--- a/packages/fairway/src/edge.ts
+++ b/packages/data-plane/src/edge.ts
@@ -1,9 +1,9 @@
 // What the parts that carry plans out share at one edge.
-import type { WorkerEntry } from '@thornsail/berth';
-import type { Config } from '@thornsail/chart';
-import { dues } from '@thornsail/dues';
-import { fault, time, us, type HttpResult, type HttpSay, type Lens, type Place, type Us } from '@thornsail/lens';
-import type { Mooring } from '@thornsail/mooring';
+import type { WorkerEntry } from '@thornsail/load-balancer';
+import type { Config } from '@thornsail/config-schema';
+import { dues } from '@thornsail/token-budget';
+import { fault, time, us, type HttpResult, type HttpSay, type Lens, type Place, type Us } from '@thornsail/runtime';
+import type { Mooring } from '@thornsail/membership';
 import type { Admission } from './admission.js';
 import { keyOf, type Books, type Chat, type Claimed, type Done, type Job, type Once } from './books.js';
 import { completion, type Say } from './say.js';
--- a/packages/fairway/src/forward/connections.ts
+++ b/packages/data-plane/src/forward/connections.ts
@@ -1,8 +1,8 @@
 // Connections kept to workers (§5.8): one pool for each life of a worker. Of the idle ones the one that has rested
 // longest is used first, so that a surplus answer shows before the next request is sent; one that its worker is
 // about to close is not used any more.
-import type { WorkerEntry } from '@thornsail/berth';
-import { us, type Clock, type Connection, type Net, type Us } from '@thornsail/lens';
+import type { WorkerEntry } from '@thornsail/load-balancer';
+import { us, type Clock, type Connection, type Net, type Us } from '@thornsail/runtime';
 
 type Kept = { connection: Connection; idleSince: Us; idleFor: Us };
 type Pool = { idle: Kept[]; used: number };
--- a/packages/fairway/src/forward/dialect.ts
+++ b/packages/data-plane/src/forward/dialect.ts
@@ -1,7 +1,7 @@
 // How requests, workers' answers and refusals are worded (§5.7). The request path knows meanings; a dialect knows
 // names. One that keeps its meanings in headers is a table of their names.
-import type { Config, Route } from '@thornsail/chart';
-import { us, type HttpAsk, type Us } from '@thornsail/lens';
+import type { Config, Route } from '@thornsail/config-schema';
+import { us, type HttpAsk, type Us } from '@thornsail/runtime';
 import type { Forward, ForwardPlan, Refused, Turn } from './plan.js';
 
 /** Header names in lower case. */
--- a/packages/fairway/src/forward/exchange.ts
+++ b/packages/data-plane/src/forward/exchange.ts
@@ -1,7 +1,7 @@
 // One exchange with one worker (§5.7): what it sends is held against the attempt it was asked for, and nothing of it
 // reaches the caller before that.
-import type { WorkerEntry } from '@thornsail/berth';
-import { us, type ExchangeControl, type HttpSay, type Lens, type Us } from '@thornsail/lens';
+import type { WorkerEntry } from '@thornsail/load-balancer';
+import { us, type ExchangeControl, type HttpSay, type Lens, type Us } from '@thornsail/runtime';
 import type { Lease } from './connections.js';
 import type { Dialect, Incoming } from './dialect.js';
 import { events, type StreamEvent } from './events.js';
--- a/packages/fairway/src/forward/forward.ts
+++ b/packages/data-plane/src/forward/forward.ts
@@ -1,8 +1,8 @@
 // Carrying out a request that is passed on unread (§5.7), a function for each stage: claim, context, charge, admission,
 // slot, send, end. A turn of a program goes through all of them, a call of a tool through some.
 import { createHash } from 'node:crypto';
-import type { WorkerEntry } from '@thornsail/berth';
-import { fault, invariant, time, us, type HttpSay, type Us } from '@thornsail/lens';
+import type { WorkerEntry } from '@thornsail/load-balancer';
+import { fault, invariant, time, us, type HttpSay, type Us } from '@thornsail/runtime';
 import type { Account, Answer, Charged, Claimed, Key, Once } from '../books.js';
 import { stillOpen, untilRoom, type Edge } from '../edge.js';
 import { stages, type Stages } from '../stage.js';
--- a/packages/fairway/src/forward/kept.ts
+++ b/packages/data-plane/src/forward/kept.ts
@@ -1,8 +1,8 @@
 // Turns that are kept (§5.9): each is a register of its own, written once before the end of its answer leaves. A turn
 // names the chain before it, so that a continued one is put together from the turns of a tree. A chain is kept as long
 // as its last turn: earlier ones whose time runs out sooner are kept on when a turn is added.
-import type { Registers } from '@thornsail/keeper';
-import { fault, us, type Clock, type Us } from '@thornsail/lens';
+import type { Registers } from '@thornsail/register-store';
+import { fault, us, type Clock, type Us } from '@thornsail/runtime';
 
 /**
  * Input and output as Latin-1, a character a byte; `chain` from the oldest turn on, without this one. `until` is the
--- a/packages/fairway/src/forward/plan.ts
+++ b/packages/data-plane/src/forward/plan.ts
@@ -1,6 +1,6 @@
 // The plan of a request that is passed on unread (§5.7): made first, as data, in whatever words its dialect has.
-import type { Route } from '@thornsail/chart';
-import type { Us } from '@thornsail/lens';
+import type { Route } from '@thornsail/config-schema';
+import type { Us } from '@thornsail/runtime';
 
 /** A turn of a program (§4): what its caller says of the program besides the request itself. */
 export type Turn = {
--- a/packages/fairway/src/index.ts
+++ b/packages/data-plane/src/index.ts
@@ -1,7 +1,7 @@
 // fairway: the data plane that a front embeds (§5): plans a request, then carries the plan out.
-import type { Beam } from '@thornsail/beam';
-import type { WorkerEntry } from '@thornsail/berth';
-import type { Config } from '@thornsail/chart';
+import type { Beam } from '@thornsail/dissemination';
+import type { WorkerEntry } from '@thornsail/load-balancer';
+import type { Config } from '@thornsail/config-schema';
 import {
   fault,
   invariant,
@@ -12,10 +12,10 @@
   type HttpSay,
   type Lens,
   type Us,
-} from '@thornsail/lens';
-import { registers, type Registers } from '@thornsail/keeper';
-import type { Mooring } from '@thornsail/mooring';
-import { shape, type Pipe } from '@thornsail/pipe';
+} from '@thornsail/runtime';
+import { registers, type Registers } from '@thornsail/register-store';
+import type { Mooring } from '@thornsail/membership';
+import { shape, type Pipe } from '@thornsail/rpc';
 import { admission, type Admission } from './admission.js';
 import { books, maxTurn } from './books.js';
 import { chat } from './chat.js';
--- a/packages/fairway/src/job.ts
+++ b/packages/data-plane/src/job.ts
@@ -1,6 +1,6 @@
 // Carrying out a job (§5.1), a function for each stage: claim, slot, send, result.
-import { formats, type WorkerEntry } from '@thornsail/berth';
-import { fault, us, type HttpResult, type HttpSay, type Us } from '@thornsail/lens';
+import { formats, type WorkerEntry } from '@thornsail/load-balancer';
+import { fault, us, type HttpResult, type HttpSay, type Us } from '@thornsail/runtime';
 import { keyOf, type Job } from './books.js';
 import { claimKey, silenceLimit, slotLimit, worker, type Edge } from './edge.js';
 import type { Ran } from './say.js';
--- a/packages/fairway/src/likely.ts
+++ b/packages/data-plane/src/likely.ts
@@ -1,6 +1,6 @@
 // How long a step is likely to take (§4.3): a moving mean and four times its mean deviation, as for a
 // retransmission time-out. A mean alone would be overrun by every other sample.
-import type { Us } from '@thornsail/lens';
+import type { Us } from '@thornsail/runtime';
 
 export type Likely = { saw: (took: Us) => void; likely: () => Us };
 export const likely = {
--- a/packages/fairway/src/plan.ts
+++ b/packages/data-plane/src/plan.ts
@@ -1,7 +1,7 @@
 // The plan of a request, made first and as data (§5.1). Nothing here touches the outside.
-import type { ClassOf, Config } from '@thornsail/chart';
+import type { ClassOf, Config } from '@thornsail/config-schema';
 import { createHash } from 'node:crypto';
-import { us, type HttpAsk, type Us } from '@thornsail/lens';
+import { us, type HttpAsk, type Us } from '@thornsail/runtime';
 
 export type Plan =
   | {
--- a/packages/fairway/src/relay.ts
+++ b/packages/data-plane/src/relay.ts
@@ -1,6 +1,6 @@
 // Relaying a worker's stream to its caller (§5.6): counted, numbered, ended or visibly cut.
-import { formats, type Piece } from '@thornsail/berth';
-import { fault, time, us, type HttpResult, type HttpSay, type Us } from '@thornsail/lens';
+import { formats, type Piece } from '@thornsail/load-balancer';
+import { fault, time, us, type HttpResult, type HttpSay, type Us } from '@thornsail/runtime';
 import { accountOf, keyOf, type Chat } from './books.js';
 import type { Edge } from './edge.js';
 import { completion as completionOf } from './say.js';
--- a/packages/fairway/src/report.ts
+++ b/packages/data-plane/src/report.ts
@@ -1,9 +1,9 @@
 // What an edge tells the other edges of its load, and hears of theirs (§4.4, §5.2): straight to them soon after a
 // change, so that two edges seldom see the same slot free. The news (§3.5) carries it as well, seldom: for operators,
 // for an edge that the straight way does not reach; and by itself which configuration is in use.
-import { isLoad, type Mooring } from '@thornsail/mooring';
-import { us, type Clock, type Us } from '@thornsail/lens';
-import { shape, type Pipe } from '@thornsail/pipe';
+import { isLoad, type Mooring } from '@thornsail/membership';
+import { us, type Clock, type Us } from '@thornsail/runtime';
+import { shape, type Pipe } from '@thornsail/rpc';
 import type { Admission, EdgeLoad } from './admission.js';
 
 export type Report = {
--- a/packages/fairway/src/say.ts
+++ b/packages/data-plane/src/say.ts
@@ -1,5 +1,5 @@
 // Results that are not a worker's stream (§4.3, §5.4).
-import type { HttpSay, Rand } from '@thornsail/lens';
+import type { HttpSay, Rand } from '@thornsail/runtime';
 
 export type Ran = 'no' | 'unknown';
 export type Say = {
--- a/packages/fairway/src/stage.ts
+++ b/packages/data-plane/src/stage.ts
@@ -1,6 +1,6 @@
 // The stages of a turn (§5.1). "Not run" may be said only from a stage in which nothing was sent.
 import { createMachine, interpret, state as st, transition } from 'robot3';
-import { invariant } from '@thornsail/lens';
+import { invariant } from '@thornsail/runtime';
 
 export type Stage = 'planned' | 'held' | 'admitted' | 'charged' | 'sent' | 'relaying' | 'ended' | 'rejected' | 'lost';
 type Move = 'hold' | 'admit' | 'charge' | 'send' | 'unsent' | 'relay' | 'end' | 'reject' | 'lose' | 'again';
--- a/packages/fairway/test/events.test.ts
+++ b/packages/data-plane/test/events.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { seeded, type Rand } from '@thornsail/lens';
+import { seeded, type Rand } from '@thornsail/runtime';
 import { events } from '../src/forward/events.js';
 
 type Made = { text: string; id: string | null; data: string | null };
--- a/packages/beam/src/index.ts
+++ b/packages/dissemination/src/index.ts
@@ -1,9 +1,9 @@
 // beam: news goes down a tree of relays that the nodes form among themselves (§3.5).
 // Every node computes the same tree from the roster. A digest exchanged with a random sibling
 // makes up for a dead relay; an older mark never replaces a newer one.
-import { hash, invariant, time, us, type Lens, type Place, type Us } from '@thornsail/lens';
-import { ring } from '@thornsail/lookout';
-import { shape, type Pipe } from '@thornsail/pipe';
+import { hash, invariant, time, us, type Lens, type Place, type Us } from '@thornsail/runtime';
+import { ring } from '@thornsail/failure-detector';
+import { shape, type Pipe } from '@thornsail/rpc';
 
 export type News = { name: string; mark: number; value: unknown };
 export type Item = { mark: number; value: unknown; at: Us };
--- a/packages/logbook/src/index.ts
+++ b/packages/durable-files/src/index.ts
@@ -1,5 +1,5 @@
 // logbook: documents kept on disk, one file for each version, with a checksum by which a torn file shows (§6.1).
-import { fault, hash, lock, type Disk } from '@thornsail/lens';
+import { fault, hash, lock, type Disk } from '@thornsail/runtime';
 
 export { batches, type Batches, type Index, type Slot } from './batches.js';
 export { merge, usualLimits, type Limits } from './merge.js';
--- a/packages/logbook/test/batches.test.ts
+++ b/packages/durable-files/test/batches.test.ts
@@ -1,8 +1,8 @@
 // Records in batches (§6.1): group commit, and what a loss of power at any moment leaves of it.
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { world, type Host, type World } from '@thornsail/fog';
-import { fault, us } from '@thornsail/lens';
+import { world, type Host, type World } from '@thornsail/simulation';
+import { fault, us } from '@thornsail/runtime';
 import {
   batches,
   logbook,
@@ -14,7 +14,7 @@
   type Limits,
   type Logbook,
   type Slot,
-} from '@thornsail/logbook';
+} from '@thornsail/durable-files';
 
 type Value = { n: number; pad: string };
 type Open = { book: Logbook; records: Batches<Value>; at: Map<string, Slot<Value>>; sound: boolean; stopped: Error[] };
--- a/packages/lookout/src/index.ts
+++ b/packages/failure-detector/src/index.ts
@@ -1,7 +1,7 @@
 // lookout: each node sends heartbeats to the few watchers that its place on a ring names (§3.2).
 // A watcher only suspects; the core rules, and only when two agree.
-import { hash, time, us, type Lens, type Place, type Us } from '@thornsail/lens';
-import { shape, type Pipe } from '@thornsail/pipe';
+import { hash, time, us, type Lens, type Place, type Us } from '@thornsail/runtime';
+import { shape, type Pipe } from '@thornsail/rpc';
 
 export type Sibling = { id: string; place: Place; inc: number };
 export type Lookout = { suspects: () => Sibling[]; watched: () => string[]; close: () => void };
--- a/packages/fog/test/rules-f.test.ts
+++ /dev/null
@@ -1,3 +0,0 @@
-import { rules } from '@thornsail/fog';
-
-rules.test('storm'.split(','), [1, 2, 3]);
--- a/packages/watch/src/index.ts
+++ b/packages/leases/src/index.ts
@@ -1,8 +1,8 @@
 // watch: a duty is won by a round of ballots each time that it falls vacant (§3.6).
 // A majority of voters grants it for a while under a mark; the holder stops by its own clock before the
 // grant can run out, and whoever it orders refuses an older mark.
-import { time, us, type Lens, type Place, type Us } from '@thornsail/lens';
-import { shape, type Pipe } from '@thornsail/pipe';
+import { time, us, type Lens, type Place, type Us } from '@thornsail/runtime';
+import { shape, type Pipe } from '@thornsail/rpc';
 
 type Grant = { by: string; mark: number; until: Us };
 type BallotResult = { ok: boolean; mark: number; by: string | null; left: Us };
--- a/packages/berth/src/fair.ts
+++ b/packages/load-balancer/src/fair.ts
@@ -2,7 +2,7 @@
 // old, so seven edges that each saw the same free slots could fill them seven times over. The free slots are dealt
 // out instead, one after another over the edges; what an edge took lately, and the others cannot know of yet, counts
 // against its part.
-import type { Us } from '@thornsail/lens';
+import type { Us } from '@thornsail/runtime';
 
 export type Fair = {
   took: (worker: string, cls: string) => void;
--- a/packages/berth/src/index.ts
+++ b/packages/load-balancer/src/index.ts
@@ -1,6 +1,6 @@
 // berth: the workers (§5.2). Which of them may take a turn of a class now, and which one does.
-import { serviceOf, type Config } from '@thornsail/chart';
-import { invariant, us, type Place, type Us } from '@thornsail/lens';
+import { serviceOf, type Config } from '@thornsail/config-schema';
+import { invariant, us, type Place, type Us } from '@thornsail/runtime';
 import { fair } from './fair.js';
 
 export type Kind = 'model' | 'app';
--- a/packages/berth/test/berth.test.ts
+++ b/packages/load-balancer/test/berth.test.ts
@@ -1,8 +1,8 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { berth, formats } from '@thornsail/berth';
-import { chart, type Config } from '@thornsail/chart';
-import { seeded } from '@thornsail/lens';
+import { berth, formats } from '@thornsail/load-balancer';
+import { chart, type Config } from '@thornsail/config-schema';
+import { seeded } from '@thornsail/runtime';
 
 const config = (): Config => {
   const c = chart.check({
--- a/packages/mooring/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,9 +1,9 @@
 // mooring: what every node does to be one of the fleet (§3.2): find the siblings from any live seed,
 // join the roster, refute a wrong death, hold the newest agreed state, and notice its own freezes.
-import { beam, type Beam, type News } from '@thornsail/beam';
-import { place, time, us, type Lens, type Place, type Us } from '@thornsail/lens';
-import { lookout, type Lookout } from '@thornsail/lookout';
-import { shape, type Pipe } from '@thornsail/pipe';
+import { beam, type Beam, type News } from '@thornsail/dissemination';
+import { place, time, us, type Lens, type Place, type Us } from '@thornsail/runtime';
+import { lookout, type Lookout } from '@thornsail/failure-detector';
+import { shape, type Pipe } from '@thornsail/rpc';
 import {
   coreClient,
   order,
@@ -12,7 +12,7 @@
   type NodeRole,
   type Ordered,
   type Marked,
-} from '@thornsail/tower';
+} from '@thornsail/consensus';
 
 type Hello = { place: Place; role: NodeRole };
 type HelloResult = { known: Hello[]; order: Marked<Ordered> | null };
--- a/packages/glass/test/glass.test.ts
+++ b/packages/query-shell/test/glass.test.ts
@@ -1,6 +1,6 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { glass } from '@thornsail/glass';
+import { glass } from '@thornsail/query-shell';
 
 const ask = (s: string, rows: Record<string, unknown>[]): unknown => {
   const p = glass.parse(s);
--- a/packages/keeper/src/known.ts
+++ b/packages/register-store/src/known.ts
@@ -1,6 +1,6 @@
 // What a proposer remembers of registers (§6.2): the newest value it saw, and a ballot that a majority has promised it.
 import { LRUMapWithDelete } from 'mnemonist';
-import type { Us } from '@thornsail/lens';
+import type { Us } from '@thornsail/runtime';
 import type { Ballot, Held } from './messages.js';
 
 /** The wall as the keepers see it: a moved clock on one of them must not age a value (§6.4). */
--- a/packages/keeper/src/members.ts
+++ b/packages/register-store/src/members.ts
@@ -1,7 +1,7 @@
 // Asking the members of the keeper group (§6.2): the same text to all that know the group, the whole group to others,
 // and an answer as soon as a majority has given it.
-import { fault, hash, us, type Lens, type Us } from '@thornsail/lens';
-import type { Pipe } from '@thornsail/pipe';
+import { fault, hash, us, type Lens, type Us } from '@thornsail/runtime';
+import type { Pipe } from '@thornsail/rpc';
 import type { Walls } from './known.js';
 import { ballot, type Ballot, type Group, type Keep, type Refusal, type Reply } from './messages.js';
 
--- a/packages/keeper/src/messages.ts
+++ b/packages/register-store/src/messages.ts
@@ -1,6 +1,6 @@
 // What proposers, keepers and the sweep say to one another (§6.2, §6.3), and what a keeper holds.
-import { place, type Place, type Us } from '@thornsail/lens';
-import { shape } from '@thornsail/pipe';
+import { place, type Place, type Us } from '@thornsail/runtime';
+import { shape } from '@thornsail/rpc';
 
 export type Ballot = [n: number, by: string];
 /** Openings were accepted without a prepare, so only all members together decide them (§6.2). */
--- a/packages/keeper/src/proposer.ts
+++ b/packages/register-store/src/proposer.ts
@@ -1,6 +1,6 @@
 // What the parts of a proposer share (§6.2): attempts with a growing pause, what a majority says, reads.
-import { fault, hash, time, us, type Lens, type Us } from '@thornsail/lens';
-import type { Pipe } from '@thornsail/pipe';
+import { fault, hash, time, us, type Lens, type Us } from '@thornsail/runtime';
+import type { Pipe } from '@thornsail/rpc';
 import { remembered, type Remembered, type Walls } from './known.js';
 import { majority, type Asked, type Good, type Members } from './members.js';
 import {
--- a/packages/keeper/src/read.ts
+++ b/packages/register-store/src/read.ts
@@ -1,6 +1,6 @@
 // Reads (§6.2): the value comes from the nearest keeper, from the others only its ballot; a majority with the same
 // ballot is enough, else the value is settled by a ballot.
-import { us, type Us } from '@thornsail/lens';
+import { us, type Us } from '@thornsail/runtime';
 import { majority, patience, type Good } from './members.js';
 import { ballot, keptUntil, type Ballot, type Group, type Keep, type Seen } from './messages.js';
 import { agreed, askCopies, decided, lacksLast, type Agreed, type Proposer, type ReadMany } from './proposer.js';
--- a/packages/keeper/src/registers.ts
+++ b/packages/register-store/src/registers.ts
@@ -1,7 +1,7 @@
 // The proposer's side of registers (§6.2): one ballot for each change, decided by a majority of the group.
 // There is no leader, so losing a keeper leaves no gap.
-import { lock, us, type Lens, type Us } from '@thornsail/lens';
-import type { Pipe } from '@thornsail/pipe';
+import { lock, us, type Lens, type Us } from '@thornsail/runtime';
+import type { Pipe } from '@thornsail/rpc';
 import type { Known, Walls } from './known.js';
 import { majority, members } from './members.js';
 import {
--- a/packages/keeper/src/shelf.ts
+++ b/packages/register-store/src/shelf.ts
@@ -1,7 +1,7 @@
 // What a keeper holds, by ranges of keys (§6.3): digests that are kept up with each change, and lists that look at one
 // range, or at what ends at one time, so that nothing walks through a whole day's registers in one go.
-import { hash, us, type Us } from '@thornsail/lens';
-import type { Index, Slot } from '@thornsail/logbook';
+import { hash, us, type Us } from '@thornsail/runtime';
+import type { Index, Slot } from '@thornsail/durable-files';
 import type { Ballot, Copy } from './messages.js';
 
 /** Keys fall into ranges by their hash; the sweep compares a digest of each before it lists any (§6.5). */
--- a/packages/keeper/src/store.ts
+++ b/packages/register-store/src/store.ts
@@ -1,7 +1,7 @@
 // The keeper's side of registers (§6.2): promises and accepted values, each synced before its reply.
-import { fault, invariant, lock, time, us, type Lens, type Us } from '@thornsail/lens';
-import { batches, logbook, type Index, type Limits, type Logbook, type Slot } from '@thornsail/logbook';
-import type { Pipe } from '@thornsail/pipe';
+import { fault, invariant, lock, time, us, type Lens, type Us } from '@thornsail/runtime';
+import { batches, logbook, type Index, type Limits, type Logbook, type Slot } from '@thornsail/durable-files';
+import type { Pipe } from '@thornsail/rpc';
 import {
   ballot,
   isAsk,
--- a/packages/keeper/src/sweep.ts
+++ b/packages/register-store/src/sweep.ts
@@ -1,7 +1,7 @@
 // The sweep (§6.5): finds the copies that no read has mended, drops what has expired everywhere,
 // and after a change of group brings every record onto a majority of the new one.
-import { time, us, type Clock, type Us } from '@thornsail/lens';
-import type { Pipe } from '@thornsail/pipe';
+import { time, us, type Clock, type Us } from '@thornsail/runtime';
+import type { Pipe } from '@thornsail/rpc';
 import {
   ballot,
   type Ballot,
--- a/packages/keeper/test/registers.test.ts
+++ b/packages/register-store/test/registers.test.ts
@@ -1,7 +1,7 @@
 // Registers (§6.2 to §6.4): reservations, reads of many keys, extensions, what is sent, and dropping.
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { world, type Host, type World } from '@thornsail/fog';
+import { world, type Host, type World } from '@thornsail/simulation';
 import {
   ballot,
   registers,
@@ -14,10 +14,10 @@
   type Store,
   type SweepResult,
   type Write,
-} from '@thornsail/keeper';
-import { fault, invariant, us, type Us } from '@thornsail/lens';
-import { logbook } from '@thornsail/logbook';
-import { pipe, shape, type Pipe } from '@thornsail/pipe';
+} from '@thornsail/register-store';
+import { fault, invariant, us, type Us } from '@thornsail/runtime';
+import { logbook } from '@thornsail/durable-files';
+import { pipe, shape, type Pipe } from '@thornsail/rpc';
 
 type Stage = {
   w: World;
--- a/packages/pipe/src/index.ts
+++ b/packages/rpc/src/index.ts
@@ -1,6 +1,6 @@
 // pipe: framed devalue between siblings; ask, tell, and polite rejection of foreign protocol marks (§3.1).
 import { parse, stringify } from 'devalue';
-import { fault, us, type Lens, type Place, type Us } from '@thornsail/lens';
+import { fault, us, type Lens, type Place, type Us } from '@thornsail/runtime';
 import type { Shape } from './shape.js';
 
 export { shape, type Shape } from './shape.js';
--- a/packages/pipe/test/connection.test.ts
+++ b/packages/rpc/test/connection.test.ts
@@ -2,8 +2,8 @@
 import net from 'node:net';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { fault, real, us, type Lens, type Place } from '@thornsail/lens';
-import { pipe, type Pipe } from '@thornsail/pipe';
+import { fault, real, us, type Lens, type Place } from '@thornsail/runtime';
+import { pipe, type Pipe } from '@thornsail/rpc';
 
 const host = `127.${64 + (process.pid % 150)}.14.1`;
 /** Counts what a method of sockets is called for. */
--- a/packages/pipe/test/damage.test.ts
+++ b/packages/rpc/test/damage.test.ts
@@ -2,8 +2,8 @@
 import net from 'node:net';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { real, seeded, us, type Lens } from '@thornsail/lens';
-import { pipe, type Pipe } from '@thornsail/pipe';
+import { real, seeded, us, type Lens } from '@thornsail/runtime';
+import { pipe, type Pipe } from '@thornsail/rpc';
 
 const host = `127.${64 + (process.pid % 150)}.13.1`;
 const head = (n: number): Buffer => {
--- a/packages/lens/test/disk.test.ts
+++ b/packages/runtime/test/disk.test.ts
@@ -5,8 +5,8 @@
 import path from 'node:path';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { fault, files, real, type FileCalls, type FileOptions } from '@thornsail/lens';
-import { batches, logbook, type Batches, type Slot } from '@thornsail/logbook';
+import { fault, files, real, type FileCalls, type FileOptions } from '@thornsail/runtime';
+import { batches, logbook, type Batches, type Slot } from '@thornsail/durable-files';
 
 type Step = 'open' | 'write' | 'sync' | 'rename' | 'folder' | 'read' | 'none';
 /** File calls of which one fails, with a code of the system's. */
--- a/packages/lens/test/http.test.ts
+++ b/packages/runtime/test/http.test.ts
@@ -2,7 +2,7 @@
 import net from 'node:net';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { fault, place, real, us } from '@thornsail/lens';
+import { fault, place, real, us } from '@thornsail/runtime';
 
 const raw = (at: string, text: string): Promise<string> =>
   new Promise((done) => {
--- a/packages/harbour/src/index.ts
+++ b/packages/service-catalog/src/index.ts
@@ -1,5 +1,5 @@
 // harbour: the platform that lists the workers and marks those that are leaving (§3.8).
-import { fault, place, time, us, wholeText, type Lens, type Place, type Us } from '@thornsail/lens';
+import { fault, place, time, us, wholeText, type Lens, type Place, type Us } from '@thornsail/runtime';
 
 /** What is left out is not known from the list: the configuration says it, or the worker itself. */
 export type PlatformWorker = {
--- a/packages/fog/src/fleet.ts
+++ b/packages/simulation/src/fleet.ts
@@ -1,6 +1,6 @@
 // A whole deployment in fog (§9.2): its machines, roles, workers, platform and callers, with faults by name.
-import { chart } from '@thornsail/chart';
-import { invariant, us, wholeText, type Lens, type Place, type Us } from '@thornsail/lens';
+import { chart } from '@thornsail/config-schema';
+import { invariant, us, wholeText, type Lens, type Place, type Us } from '@thornsail/runtime';
 import {
   audit,
   callers,
@@ -19,8 +19,8 @@
   type Listed,
   type Platform,
   type StandIn,
-} from '@thornsail/roadstead';
-import { root } from '@thornsail/signal';
+} from '@thornsail/test-harness';
+import { root } from '@thornsail/admin-api';
 import { roles, type Node } from '@thornsail/thornsail';
 import { world, type Host, type World } from './world.js';
 
--- a/packages/fog/src/hollow-cli.ts
+++ b/packages/simulation/src/hollow-cli.ts
@@ -1,6 +1,7 @@
-// node packages/fog/src/hollow-cli.js EDGES SECONDS: hollow nodes on real sockets, in a process of their own that ends
+// Usage: node packages/simulation/src/hollow-cli.js EDGES SECONDS
+// Hollow nodes on real sockets, in a process of their own that ends
 // by itself (docs/CAPACITY.md).
-import { us } from '@thornsail/lens';
+import { us } from '@thornsail/runtime';
 import { realHollow } from './hollow.js';
 
 setTimeout(() => process.exit(3), 90_000).unref();
--- a/packages/fog/src/hollow.ts
+++ b/packages/simulation/src/hollow.ts
@@ -3,9 +3,9 @@
 import { mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
-import type { WorkerEntry } from '@thornsail/berth';
-import { chart } from '@thornsail/chart';
-import { invariant, real, us, type Lens, type Place, type Us } from '@thornsail/lens';
+import type { WorkerEntry } from '@thornsail/load-balancer';
+import { chart } from '@thornsail/config-schema';
+import { invariant, real, us, type Lens, type Place, type Us } from '@thornsail/runtime';
 import { roles, type Node } from '@thornsail/thornsail';
 import { world, type Host, type World } from './world.js';
 
--- a/packages/fog/src/link.ts
+++ b/packages/simulation/src/link.ts
@@ -11,8 +11,8 @@
   type Place,
   type Rand,
   type Us,
-} from '@thornsail/lens';
-import type { WireHandler, WireSay } from '@thornsail/roadstead';
+} from '@thornsail/runtime';
+import type { WireHandler, WireSay } from '@thornsail/test-harness';
 import type { Host } from './world.js';
 
 /** What listens at a place. `room`: whether one more connection is accepted. */
--- a/packages/fog/src/measure-capacity.ts
+++ b/packages/simulation/src/measure-capacity.ts
@@ -8,16 +8,16 @@
 import { setFlagsFromString } from 'node:v8';
 import { runInNewContext } from 'node:vm';
 import { parse, stringify } from 'devalue';
-import { beam, type Beam } from '@thornsail/beam';
-import { berth, newsLag, type Load } from '@thornsail/berth';
-import { chart } from '@thornsail/chart';
-import type { EdgeLoad, Fairway } from '@thornsail/fairway';
-import { registers, store, type Group, type Registers } from '@thornsail/keeper';
-import { place, real, us, type Disk, type Lens, type Us } from '@thornsail/lens';
-import { logbook } from '@thornsail/logbook';
-import { lookout } from '@thornsail/lookout';
-import { pilotage } from '@thornsail/pilotage';
-import { pipe } from '@thornsail/pipe';
+import { beam, type Beam } from '@thornsail/dissemination';
+import { berth, newsLag, type Load } from '@thornsail/load-balancer';
+import { chart } from '@thornsail/config-schema';
+import type { EdgeLoad, Fairway } from '@thornsail/data-plane';
+import { registers, store, type Group, type Registers } from '@thornsail/register-store';
+import { place, real, us, type Disk, type Lens, type Us } from '@thornsail/runtime';
+import { logbook } from '@thornsail/durable-files';
+import { lookout } from '@thornsail/failure-detector';
+import { pilotage } from '@thornsail/admission-scheduler';
+import { pipe } from '@thornsail/rpc';
 import {
   core,
   coreClient,
@@ -28,7 +28,7 @@
   type NodeEntry,
   type Ordered,
   type PushResult,
-} from '@thornsail/tower';
+} from '@thornsail/consensus';
 import { fit, type Fit, type Point, type Shape } from './fit.js';
 import { hollow, hollowConfig, total, workerList, type Hollow, type RealUse } from './hollow.js';
 import { world, type World } from './world.js';
--- a/packages/fog/src/measure-cli.ts
+++ b/packages/simulation/src/measure-cli.ts
@@ -1,10 +1,10 @@
 // npm run measure [-- part ...]: the figures of docs/MEASUREMENTS.md, all in simulated time or counts.
-import { beam, type Beam } from '@thornsail/beam';
-import { us, type Us } from '@thornsail/lens';
-import { lookout } from '@thornsail/lookout';
-import { pipe } from '@thornsail/pipe';
-import type { ShapeName } from '@thornsail/roadstead';
-import { watch, type Duty } from '@thornsail/watch';
+import { beam, type Beam } from '@thornsail/dissemination';
+import { us, type Us } from '@thornsail/runtime';
+import { lookout } from '@thornsail/failure-detector';
+import { pipe } from '@thornsail/rpc';
+import type { ShapeName } from '@thornsail/test-harness';
+import { watch, type Duty } from '@thornsail/leases';
 import { capacity } from './capacity.js';
 import { fleet, type Fleet } from './fleet.js';
 import { measure } from './measure-capacity.js';
--- a/packages/fog/src/measure-registers.ts
+++ b/packages/simulation/src/measure-registers.ts
@@ -4,10 +4,10 @@
 import { mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
-import { registers, store, type Group, type Registers } from '@thornsail/keeper';
-import { real, seeded, time, us, type Lens, type Rand, type Us } from '@thornsail/lens';
-import { logbook } from '@thornsail/logbook';
-import { pipe, shape, type Pipe } from '@thornsail/pipe';
+import { registers, store, type Group, type Registers } from '@thornsail/register-store';
+import { real, seeded, time, us, type Lens, type Rand, type Us } from '@thornsail/runtime';
+import { logbook } from '@thornsail/durable-files';
+import { pipe, shape, type Pipe } from '@thornsail/rpc';
 import { world } from './world.js';
 
 type Row = (...c: (string | number)[]) => void;
--- a/packages/fog/src/registers-cli.ts
+++ b/packages/simulation/src/registers-cli.ts
@@ -1,6 +1,6 @@
-// node packages/fog/src/registers-cli.js [simulated|bench ...]: what a register change costs.
+// node packages/simulation/src/registers-cli.js [simulated|bench ...]: what a register change costs.
 import { fileURLToPath } from 'node:url';
-import { us } from '@thornsail/lens';
+import { us } from '@thornsail/runtime';
 import { bench, benchHead, benchKeeper, simulated, simulatedHead } from './measure-registers.js';
 
 const row = (...c: (string | number)[]): void => void process.stdout.write(`| ${c.join(' | ')} |\n`);
--- a/packages/fog/src/scenarios.ts
+++ b/packages/simulation/src/scenarios.ts
@@ -1,7 +1,7 @@
 // What must never happen, caused (§9.4): each scenario brings one kind of failure over a deployment in fog and says
 // what was breached. Figures are simulated time and counts.
-import { us, type Place, type Us } from '@thornsail/lens';
-import { root } from '@thornsail/signal';
+import { us, type Place, type Us } from '@thornsail/runtime';
+import { root } from '@thornsail/admin-api';
 import { fleet } from './fleet.js';
 import {
   edges,
--- a/packages/fog/src/scene.ts
+++ b/packages/simulation/src/scene.ts
@@ -1,7 +1,7 @@
 // What the scenarios share (§9.4): the names of the machines, how a run ends, and when a fleet serves again.
-import { us, type Place, type Us } from '@thornsail/lens';
-import { silent, type Listed, type ShapeName, type StandIn } from '@thornsail/roadstead';
-import { root } from '@thornsail/signal';
+import { us, type Place, type Us } from '@thornsail/runtime';
+import { silent, type Listed, type ShapeName, type StandIn } from '@thornsail/test-harness';
+import { root } from '@thornsail/admin-api';
 import type { Fleet } from './fleet.js';
 
 export type Outcome = { breaches: string[]; figures: Record<string, number>; hash: string };
--- a/packages/fog/src/sweep-cli.ts
+++ b/packages/simulation/src/sweep-cli.ts
@@ -3,7 +3,7 @@
 import { spawn } from 'node:child_process';
 import { availableParallelism } from 'node:os';
 import { fileURLToPath } from 'node:url';
-import type { ShapeName } from '@thornsail/roadstead';
+import type { ShapeName } from '@thornsail/test-harness';
 import { scenarios } from './scenarios.js';
 
 const out = (t: string): void => void process.stdout.write(`${t}\n`);
--- a/packages/fog/src/trials.ts
+++ b/packages/simulation/src/trials.ts
@@ -1,8 +1,8 @@
 // Further scenarios (§9.4): disks that fail, clocks that jump, workers and a platform that misbehave, a fleet cut in
 // two anywhere, bursts at all edges at once.
-import { us, type Place, type Us } from '@thornsail/lens';
-import { classNames, type Listed } from '@thornsail/roadstead';
-import { root } from '@thornsail/signal';
+import { us, type Place, type Us } from '@thornsail/runtime';
+import { classNames, type Listed } from '@thornsail/test-harness';
+import { root } from '@thornsail/admin-api';
 import { fleet, type Fleet } from './fleet.js';
 import {
   edges,
@@ -95,7 +95,7 @@
           });
         });
       };
-      // A keeper's registers are written in place; a rename that fails there is logbook/test/batches.test's.
+      // A keeper's registers are written in place; a rename that fails there is durable-files/test/batches.test's.
       later(f, us.s(9), () => breaks(b!, (['sync', 'sync', 'write'] as const)[r.int(3)]!));
       // Until the keeper is back no second machine with a disk may be lost.
       later(f, us.s(14), () => {
--- a/packages/fog/src/world.ts
+++ b/packages/simulation/src/world.ts
@@ -17,8 +17,8 @@
   type Place,
   type Rand,
   type Us,
-} from '@thornsail/lens';
-import type { Wire, WireHandler } from '@thornsail/roadstead';
+} from '@thornsail/runtime';
+import type { Wire, WireHandler } from '@thornsail/test-harness';
 import { link, type Ground, type Served } from './link.js';
 
 type Ev = { at: Us; n: number; host: Host | null; inc: number; fn: () => void };
--- a/packages/fog/test/api.test.ts
+++ b/packages/simulation/test/api.test.ts
@@ -1,8 +1,8 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { us, type Place } from '@thornsail/lens';
-import { fleet, type Fleet } from '@thornsail/fog';
-import { root } from '@thornsail/signal';
+import { us, type Place } from '@thornsail/runtime';
+import { fleet, type Fleet } from '@thornsail/simulation';
+import { root } from '@thornsail/admin-api';
 import { survey } from '@thornsail/thornsail';
 
 type Reply = { status: number; body: Record<string, unknown>; headers: Record<string, string> };
--- a/packages/fog/test/config.test.ts
+++ b/packages/simulation/test/config.test.ts
@@ -1,8 +1,8 @@
 // A configuration is in use two seconds after its acknowledgement (§7.2), by what callers get at each front.
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { us, type Place, type Us } from '@thornsail/lens';
-import { fleet, type Fleet } from '@thornsail/fog';
+import { us, type Place, type Us } from '@thornsail/runtime';
+import { fleet, type Fleet } from '@thornsail/simulation';
 
 const edges = [1, 2, 3, 4, 5, 6, 7];
 const towers = ['tower1', 'tower2', 'tower3'];
--- a/packages/fog/test/docs.test.ts
+++ b/packages/simulation/test/docs.test.ts
@@ -3,7 +3,7 @@
 import { fileURLToPath } from 'node:url';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { chart } from '@thornsail/chart';
+import { chart } from '@thornsail/config-schema';
 import { scenarios } from '../src/scenarios.js';
 import { guards } from '../src/guards.js';
 
@@ -48,7 +48,7 @@
     .filter((l) => /^\| (?!asked|rule|brought|---)/.test(l));
   assert.ok(rows.length > 50);
   for (const row of rows) {
-    const files = [...row.matchAll(/`([a-z]+\/test\/[a-z-]+\.test\.ts)`/g)].map((m) => m[1]!);
+    const files = [...row.matchAll(/`([a-z-]+\/test\/[a-z-]+\.test\.ts)`/g)].map((m) => m[1]!);
     const named = [...row.matchAll(/scenario `([a-z]+)`/g)].map((m) => m[1]!);
     for (const f of files) assert.ok(existsSync(path.join(root, 'packages', f)), `${f} does not exist: ${row}`);
     for (const n of named) assert.ok(Object.hasOwn(scenarios, n), `there is no scenario ${n}: ${row}`);
--- a/packages/fog/test/freeze.test.ts
+++ b/packages/simulation/test/freeze.test.ts
@@ -1,7 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { us, type Place } from '@thornsail/lens';
-import { fleet, type Fleet, type Proc } from '@thornsail/fog';
+import { us, type Place } from '@thornsail/runtime';
+import { fleet, type Fleet, type Proc } from '@thornsail/simulation';
 
 /** An edge sleeps while two workers leave, cut off from some of the fleet; it is asked for jobs as it wakes. */
 const sleptWhileWorkersLeft = async (seed: number, cutOff: (p: Proc) => boolean): Promise<Fleet> => {
--- a/packages/fog/test/input.test.ts
+++ b/packages/simulation/test/input.test.ts
@@ -2,12 +2,12 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { stringify } from 'devalue';
-import { formats } from '@thornsail/berth';
-import { chart } from '@thornsail/chart';
-import { plan } from '@thornsail/fairway';
-import { seeded, us, type HttpAsk, type Place, type Rand } from '@thornsail/lens';
-import { fleet, type Fleet } from '@thornsail/fog';
-import { protocol } from '@thornsail/pipe';
+import { formats } from '@thornsail/load-balancer';
+import { chart } from '@thornsail/config-schema';
+import { plan } from '@thornsail/data-plane';
+import { seeded, us, type HttpAsk, type Place, type Rand } from '@thornsail/runtime';
+import { fleet, type Fleet } from '@thornsail/simulation';
+import { protocol } from '@thornsail/rpc';
 
 const odd: unknown[] = [null, 0, -1, 1e300, '', 'x', '\u0000', [], {}, [null], { a: { b: [] } }, true, 'ü'.repeat(300)];
 const pick = <T>(r: Rand, list: readonly T[]): T => list[r.int(list.length)]!;
--- a/packages/fog/test/keep.test.ts
+++ b/packages/simulation/test/keep.test.ts
@@ -1,9 +1,9 @@
 // Keys and kept conversations (§5.4, §5.5): another request under a used key, a turn sent again, growth, keeping.
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { us, type Place } from '@thornsail/lens';
-import { fleet, world, type Fleet } from '@thornsail/fog';
-import { callers, classNames } from '@thornsail/roadstead';
+import { us, type Place } from '@thornsail/runtime';
+import { fleet, world, type Fleet } from '@thornsail/simulation';
+import { callers, classNames } from '@thornsail/test-harness';
 
 type Reply = { status: number; body: Record<string, unknown>; headers: Record<string, string> };
 const settled = async <T>(f: Fleet, work: Promise<T>): Promise<T> => {
--- a/packages/fog/test/link.test.ts
+++ b/packages/simulation/test/link.test.ts
@@ -2,9 +2,9 @@
 // simulator can bring about.
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { world, type Host, type World } from '@thornsail/fog';
-import { real, time, us, type Connection, type Lens, type Place, type Us } from '@thornsail/lens';
-import { wire, type Wire, type WireHandler } from '@thornsail/roadstead';
+import { world, type Host, type World } from '@thornsail/simulation';
+import { real, time, us, type Connection, type Lens, type Place, type Us } from '@thornsail/runtime';
+import { wire, type Wire, type WireHandler } from '@thornsail/test-harness';
 
 type Got = { status: number; id: string; body: string; how: 'end' | 'fail'; sent: boolean };
 const ask = (c: Connection, path: string, timeLeft?: { lens: Lens; left: Us }): Promise<Got> =>
--- a/packages/fog/test/parts.test.ts
+++ b/packages/simulation/test/parts.test.ts
@@ -1,12 +1,12 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { beam, tree, type Beam } from '@thornsail/beam';
-import { invariant, us } from '@thornsail/lens';
-import { logbook } from '@thornsail/logbook';
-import { lookout, ring } from '@thornsail/lookout';
-import { pipe } from '@thornsail/pipe';
-import { watch, type Duty } from '@thornsail/watch';
-import { world, type Host } from '@thornsail/fog';
+import { beam, tree, type Beam } from '@thornsail/dissemination';
+import { invariant, us } from '@thornsail/runtime';
+import { logbook } from '@thornsail/durable-files';
+import { lookout, ring } from '@thornsail/failure-detector';
+import { pipe } from '@thornsail/rpc';
+import { watch, type Duty } from '@thornsail/leases';
+import { world, type Host } from '@thornsail/simulation';
 
 const open = (seed: number): ReturnType<typeof world.open> => {
   invariant.clear();
--- a/packages/fog/test/path.test.ts
+++ b/packages/simulation/test/path.test.ts
@@ -1,7 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { us } from '@thornsail/lens';
-import { fleet } from '@thornsail/fog';
+import { us } from '@thornsail/runtime';
+import { fleet } from '@thornsail/simulation';
 
 const day = async (
   seed: number,
--- a/packages/fog/test/registers.test.ts
+++ b/packages/simulation/test/registers.test.ts
@@ -1,10 +1,18 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { registers, store, sweep, type Group, type Registers, type Store, type SweepResult } from '@thornsail/keeper';
-import { fault, invariant, time, us } from '@thornsail/lens';
-import { logbook } from '@thornsail/logbook';
-import { pipe, type Pipe } from '@thornsail/pipe';
-import { world, type Host } from '@thornsail/fog';
+import {
+  registers,
+  store,
+  sweep,
+  type Group,
+  type Registers,
+  type Store,
+  type SweepResult,
+} from '@thornsail/register-store';
+import { fault, invariant, time, us } from '@thornsail/runtime';
+import { logbook } from '@thornsail/durable-files';
+import { pipe, type Pipe } from '@thornsail/rpc';
+import { world, type Host } from '@thornsail/simulation';
 
 type Op = {
   id: string;
--- /dev/null
+++ b/packages/simulation/test/rules-f.test.ts
@@ -0,0 +1,3 @@
+import { rules } from '@thornsail/simulation';
+
+rules.test('storm'.split(','), [1, 2, 3]);
--- a/packages/fog/test/rules-g.test.ts
+++ b/packages/simulation/test/rules-g.test.ts
@@ -1,3 +1,3 @@
-import { rules } from '@thornsail/fog';
+import { rules } from '@thornsail/simulation';
 
 rules.test('disk,clocks,workers'.split(','), [1, 2]);
--- a/packages/fog/test/sizes.test.ts
+++ b/packages/simulation/test/sizes.test.ts
@@ -1,11 +1,19 @@
 // A keeper with the registers of a full day (§8): nothing looks at all of them in one go, and a keeper is replaced.
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { registers, store, sweep, type Group, type Registers, type Store, type SweepResult } from '@thornsail/keeper';
-import { invariant, us, type Lens } from '@thornsail/lens';
-import { logbook } from '@thornsail/logbook';
-import { pipe, type Pipe } from '@thornsail/pipe';
-import { world, type Host, type World } from '@thornsail/fog';
+import {
+  registers,
+  store,
+  sweep,
+  type Group,
+  type Registers,
+  type Store,
+  type SweepResult,
+} from '@thornsail/register-store';
+import { invariant, us, type Lens } from '@thornsail/runtime';
+import { logbook } from '@thornsail/durable-files';
+import { pipe, type Pipe } from '@thornsail/rpc';
+import { world, type Host, type World } from '@thornsail/simulation';
 
 const count = 100_000;
 /** One key a second for a day, and a seventh as many programs kept for a week: about 100 000 registers. */
--- a/packages/fog/test/streams.test.ts
+++ b/packages/simulation/test/streams.test.ts
@@ -1,7 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { us, type HttpResult, type Place } from '@thornsail/lens';
-import { fleet } from '@thornsail/fog';
+import { us, type HttpResult, type Place } from '@thornsail/runtime';
+import { fleet } from '@thornsail/simulation';
 
 const headers = { 'content-type': 'application/json', 'x-thornsail-program': 'p1', 'x-thornsail-class': 'chat' };
 const body = JSON.stringify({ messages: [{ role: 'user', content: 'go [last]' }], max_tokens: 40 });
--- a/packages/fog/test/upgrade.test.ts
+++ b/packages/simulation/test/upgrade.test.ts
@@ -1,9 +1,9 @@
 import { parse, stringify } from 'devalue';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { us } from '@thornsail/lens';
-import { pipe, protocol } from '@thornsail/pipe';
-import { world } from '@thornsail/fog';
+import { us } from '@thornsail/runtime';
+import { pipe, protocol } from '@thornsail/rpc';
+import { world } from '@thornsail/simulation';
 
 test('a sibling that speaks a foreign protocol mark is refused politely, one in range is served', async () => {
   const w = world.open({ seed: 1, zoneDelay: us.ms(1), clientDelay: us.ms(1), clientIp: 'x' });
--- a/packages/fog/test/views.test.ts
+++ b/packages/simulation/test/views.test.ts
@@ -1,10 +1,10 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { fault, invariant, us } from '@thornsail/lens';
-import { logbook } from '@thornsail/logbook';
-import { pipe } from '@thornsail/pipe';
-import { views, type Marked, type Views } from '@thornsail/tower';
-import { world, type Host, type World } from '@thornsail/fog';
+import { fault, invariant, us } from '@thornsail/runtime';
+import { logbook } from '@thornsail/durable-files';
+import { pipe } from '@thornsail/rpc';
+import { views, type Marked, type Views } from '@thornsail/consensus';
+import { world, type Host, type World } from '@thornsail/simulation';
 
 type List = { list: string[] };
 type Tower = { at: string; host: Host; v: Views<List> | null; log: Marked<List>[] };
--- a/packages/roadstead/src/callers.ts
+++ b/packages/test-harness/src/callers.ts
@@ -9,7 +9,7 @@
   type Place,
   type Rand,
   type Us,
-} from '@thornsail/lens';
+} from '@thornsail/runtime';
 import type { Ledger } from './standins.js';
 import { standText } from './standins.js';
 
--- a/packages/roadstead/src/fleet-cli.ts
+++ b/packages/test-harness/src/fleet-cli.ts
@@ -1,7 +1,7 @@
 // The stand-in workers are small (--capacity, in tokens), so that programs are paused and turns are held.
 // npm run fleet -- --shape lautoka|granite [--seed N] [--capacity N] [--chats N] [--kept N]
 //   [--jobs N] [--seconds N] [--faults kill,freeze,disk,config,leave]
-import { time, us } from '@thornsail/lens';
+import { time, us } from '@thornsail/runtime';
 import { realFleet } from './fleet.js';
 import type { ShapeName } from './shapes.js';
 
--- a/packages/roadstead/src/fleet.ts
+++ b/packages/test-harness/src/fleet.ts
@@ -5,7 +5,7 @@
 import { createRequire } from 'node:module';
 import os from 'node:os';
 import path from 'node:path';
-import { fault, real, seeded, time, us, wholeText, type Lens, type Place } from '@thornsail/lens';
+import { fault, real, seeded, time, us, wholeText, type Lens, type Place } from '@thornsail/runtime';
 import { audit, callers, type Callers } from './callers.js';
 import { classNames, layout, ports, shapes, type Layout, type Shape, type ShapeName } from './shapes.js';
 import { ledger, standIns, type Ledger, type Platform, type StandIn } from './standins.js';
--- a/packages/roadstead/src/shapes.ts
+++ b/packages/test-harness/src/shapes.ts
@@ -1,5 +1,5 @@
 // The two deployments' shapes, small enough for one machine: thirteen machines in three zones, their workers and loads.
-import { us, type Place, type Us } from '@thornsail/lens';
+import { us, type Place, type Us } from '@thornsail/runtime';
 
 export type ShapeName = 'lautoka' | 'granite';
 export type Shape = {
--- a/packages/roadstead/src/standins.ts
+++ b/packages/test-harness/src/standins.ts
@@ -1,6 +1,16 @@
 // Stand-ins for what is outside (§9.3): model workers, application workers and the platform, in published formats.
 // They keep a ledger of what reached them, against which the rules are checked.
-import { hash, time, us, type Clock, type HttpSay, type Lens, type Place, type Rand, type Us } from '@thornsail/lens';
+import {
+  hash,
+  time,
+  us,
+  type Clock,
+  type HttpSay,
+  type Lens,
+  type Place,
+  type Rand,
+  type Us,
+} from '@thornsail/runtime';
 
 export type LedgerEntry = {
   worker: string;
--- a/packages/roadstead/src/wire.ts
+++ b/packages/test-harness/src/wire.ts
@@ -2,7 +2,7 @@
 // asked for, a reset, idle connections closed. On real sockets here; the simulator brings its own.
 import http from 'node:http';
 import type net from 'node:net';
-import { place, real, us, type HttpAsk, type HttpSay, type HttpServer, type Place, type Us } from '@thornsail/lens';
+import { place, real, us, type HttpAsk, type HttpSay, type HttpServer, type Place, type Us } from '@thornsail/runtime';
 
 export type WireSay = HttpSay & {
   /** Bytes that are no answer, and then nothing. */
--- a/packages/roadstead/test/embed.test.ts
+++ b/packages/test-harness/test/embed.test.ts
@@ -3,8 +3,8 @@
 import { fileURLToPath } from 'node:url';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { us, wholeText } from '@thornsail/lens';
-import { realFleet } from '@thornsail/roadstead';
+import { us, wholeText } from '@thornsail/runtime';
+import { realFleet } from '@thornsail/test-harness';
 
 test('examples/embed serves its own path and turns of programs, and ends in order', async () => {
   const f = await realFleet.open({ shape: 'granite', seed: 4 });
--- a/packages/roadstead/test/fleet.test.ts
+++ b/packages/test-harness/test/fleet.test.ts
@@ -1,8 +1,8 @@
 // Real processes under kill, freeze and loss of a data folder. Waits on events; asserts order and safety, not speed.
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { time, us } from '@thornsail/lens';
-import { realFleet } from '@thornsail/roadstead';
+import { time, us } from '@thornsail/runtime';
+import { realFleet } from '@thornsail/test-harness';
 
 test('real processes serve through a kill, a freeze and a lost data folder without a breach', async () => {
   const f = await realFleet.open({ shape: 'granite', seed: 3 });
--- a/packages/thornsail/src/bin.ts
+++ b/packages/thornsail/src/bin.ts
@@ -4,9 +4,9 @@
 import { createInterface } from 'node:readline';
 import { stripVTControlCharacters } from 'node:util';
 import { defineCommand, renderUsage, runCommand, type ArgsDef, type CommandDef } from 'citty';
-import { chart, type Role } from '@thornsail/chart';
-import { glass } from '@thornsail/glass';
-import { fault, invariant, real, type Lens } from '@thornsail/lens';
+import { chart, type Role } from '@thornsail/config-schema';
+import { glass } from '@thornsail/query-shell';
+import { fault, invariant, real, type Lens } from '@thornsail/runtime';
 import { operator } from './operator.js';
 import { roles, type Node } from './roles.js';
 
--- a/packages/thornsail/src/embed.ts
+++ b/packages/thornsail/src/embed.ts
@@ -1,8 +1,8 @@
 // The data plane in a front program of one's own, in one call (§1.1): a front of the fleet beside the pilot on the
 // same machine, served by whatever HTTP server the program already has.
-import { chart } from '@thornsail/chart';
-import { fault, real, type HttpHandler, type Lens, type Listener } from '@thornsail/lens';
-import { root } from '@thornsail/signal';
+import { chart } from '@thornsail/config-schema';
+import { fault, real, type HttpHandler, type Lens, type Listener } from '@thornsail/runtime';
+import { root } from '@thornsail/admin-api';
 import { roles } from './roles.js';
 
 /** As the settings of `thornsail front` (docs/CONFIG.md). `http` is where the program's own server is reached. */
--- a/packages/thornsail/src/operator.ts
+++ b/packages/thornsail/src/operator.ts
@@ -1,7 +1,7 @@
 // Operator commands (§7.3): thin callers of any node's HTTP.
-import { fault, time, us, wholeText, type HttpCall, type Lens } from '@thornsail/lens';
-import { glass } from '@thornsail/glass';
-import { root } from '@thornsail/signal';
+import { fault, time, us, wholeText, type HttpCall, type Lens } from '@thornsail/runtime';
+import { glass } from '@thornsail/query-shell';
+import { root } from '@thornsail/admin-api';
 import { patience, survey } from './survey.js';
 
 type Reply = { status: number; body: Record<string, unknown> };
--- a/packages/thornsail/src/roles.ts
+++ b/packages/thornsail/src/roles.ts
@@ -1,16 +1,16 @@
 // The roles (§1.2). Each is given its lens and its checked options, and runs as well in fog as on a machine.
-import { workersOf, fairway, type Drain, type EdgeLoad, type Fairway } from '@thornsail/fairway';
-import type { FrontOptions, KeeperOptions, PilotOptions, TowerOptions } from '@thornsail/chart';
-import { harbour, type PlatformWorker } from '@thornsail/harbour';
-import { registers, store, sweep, type Group, type Registers } from '@thornsail/keeper';
-import { fault, invariant, time, us, type HttpHandler, type Lens, type Place, type Us } from '@thornsail/lens';
-import type { WorkerEntry } from '@thornsail/berth';
-import { logbook } from '@thornsail/logbook';
-import { mooring, type Mooring } from '@thornsail/mooring';
-import { pipe, shape, type Pipe } from '@thornsail/pipe';
-import { control, root, signal, type Control, type NewsResult, type SignalNode } from '@thornsail/signal';
-import { core, order, type Ordered, type Marked } from '@thornsail/tower';
-import { watch } from '@thornsail/watch';
+import { workersOf, fairway, type Drain, type EdgeLoad, type Fairway } from '@thornsail/data-plane';
+import type { FrontOptions, KeeperOptions, PilotOptions, TowerOptions } from '@thornsail/config-schema';
+import { harbour, type PlatformWorker } from '@thornsail/service-catalog';
+import { registers, store, sweep, type Group, type Registers } from '@thornsail/register-store';
+import { fault, invariant, time, us, type HttpHandler, type Lens, type Place, type Us } from '@thornsail/runtime';
+import type { WorkerEntry } from '@thornsail/load-balancer';
+import { logbook } from '@thornsail/durable-files';
+import { mooring, type Mooring } from '@thornsail/membership';
+import { pipe, shape, type Pipe } from '@thornsail/rpc';
+import { control, root, signal, type Control, type NewsResult, type SignalNode } from '@thornsail/admin-api';
+import { core, order, type Ordered, type Marked } from '@thornsail/consensus';
+import { watch } from '@thornsail/leases';
 
 export type Node = {
   id: string;
--- a/packages/thornsail/src/survey.ts
+++ b/packages/thornsail/src/survey.ts
@@ -1,6 +1,6 @@
 // `thornsail check` (§7.4): looks at every node of the fleet from one of them, and says what an operator should know.
-import { us, type Us } from '@thornsail/lens';
-import { root } from '@thornsail/signal';
+import { us, type Us } from '@thornsail/runtime';
+import { root } from '@thornsail/admin-api';
 
 export type Finding = { severity: 'bad' | 'note'; about: string; text: string };
 type Reply = { status: number; body: Record<string, unknown> };
--- a/packages/dues/src/index.ts
+++ b/packages/token-budget/src/index.ts
@@ -1,5 +1,5 @@
 // dues: a program's token budget across all nodes, as pure changes of its register (§5.3).
-import { invariant, type Us } from '@thornsail/lens';
+import { invariant, type Us } from '@thornsail/runtime';
 
 export type OpenTurn = { turn: string; by: string; reserved: number; at: Us };
 export type Purse = {
--- a/packages/dues/test/dues.test.ts
+++ b/packages/token-budget/test/dues.test.ts
@@ -1,7 +1,7 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { dues, type Purse } from '@thornsail/dues';
-import { seeded } from '@thornsail/lens';
+import { dues, type Purse } from '@thornsail/token-budget';
+import { seeded } from '@thornsail/runtime';
 
 test('random turns, lost ones and late settlements: never more received than the budget plus one turn', () => {
   for (let seed = 1; seed <= 200; seed++) {
