The simulated disk and the data folder each in a module of their own

world.ts and real.ts held them beside the network; nothing is changed in what they do. The tests of the data folder, the registers and the views pass as before.

--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -259,4 +259,5 @@
   },
 };
 export { seeded } from './seeded.js';
-export { real, files, type FileCalls, type FileOptions, type Listener } from './real.js';
+export { files, type FileCalls, type FileOptions } from './data-folder.js';
+export { real, type Listener } from './real.js';
--- a/packages/simulation/src/world.ts
+++ b/packages/simulation/src/world.ts
@@ -5,7 +5,6 @@
   place,
   seeded,
   us,
-  type Disk,
   type Frames,
   type HttpAsk,
   type HttpCall,
@@ -19,37 +18,10 @@
   type Us,
 } from '@thornsail/runtime';
 import type { Wire, WireHandler } from '@thornsail/test-harness';
+import { simulatedDisk, type DiskGround, type DiskState } from './disk.js';
 import { link, type Ground, type Served } from './link.js';
 
 type Ev = { at: Us; n: number; host: Host | null; inc: number; fn: () => void };
-/** A write on its way: `text` is taken when its turn comes; one that is made in place has no rename (§6.1). */
-type DiskWrite = {
-  name: string;
-  inPlace: boolean;
-  text: () => string;
-  taken?: string;
-  done: () => void;
-  fail: (e: Error) => void;
-};
-/** A small disk: one sync at a time, of one file or of the folder (§9.2). */
-export type DiskState = {
-  /** Waiting for their syncs; `busy` is the one whose sync is under way. */
-  line: Set<DiskWrite>;
-  busy: DiskWrite | null;
-  /** Stretches the time of a sync. */
-  slow: number;
-  /** No sync ends before this time. */
-  hangsUntil: Us;
-  full: boolean;
-  /** Whether a new file's name lasts only once the folder was synced, too; else its own sync is enough (§6.1). */
-  syncFolder: boolean;
-  /** Files that a killed process left without a sync, each with what a loss of power may bring back. */
-  loose: Map<string, string | undefined>;
-  /** Removed since the last sync of the folder: a loss of power may bring these back. */
-  removed: Map<string, string>;
-  /** Chances that a step fails. */
-  fail: { write: number; sync: number; rename: number; read: number };
-};
 export type Host = {
   ip: string;
   zone: string;
@@ -138,38 +110,6 @@
     tooBig: false,
   };
 };
-/** What a write that was never synced may leave of a file: nothing, a part, zeros at its end, or all of it. */
-const damaged = (rand: Rand, text: string): string | undefined => {
-  const cut = rand.int(text.length + 1);
-  return [undefined, text.slice(0, cut), text.slice(0, cut) + '\0'.repeat(text.length - cut), text][rand.int(4)];
-};
-const leave = (h: Host, name: string, text: string | undefined): void => {
-  if (text === undefined) h.files.delete(name);
-  else h.files.set(name, text);
-};
-/** What a disk holds after its process ended, or the machine lost its power or the disk itself. */
-const endDisk = (rand: Rand, h: Host, how: 'process' | 'power' | 'disk'): void => {
-  const d = h.disk;
-  // What was on its way is lost, or had just arrived; a file made in place may have arrived in part.
-  for (const p of d.busy ? [d.busy, ...d.line] : [...d.line]) {
-    const was = h.files.get(p.name);
-    const back = was ?? d.removed.get(p.name);
-    if (p.inPlace) {
-      if (p.taken !== undefined) leave(h, p.name, damaged(rand, p.taken));
-    } else if (how === 'process' ? rand.int(2) === 0 : rand.int(4) === 0) leave(h, p.name, p.text());
-    if (how === 'process' && h.files.get(p.name) !== was) d.loose.set(p.name, back);
-  }
-  d.line.clear();
-  d.busy = null;
-  if (how === 'process') return;
-  // Names that were removed, and what no sync had taken in, may be back as they were.
-  for (const [name, text] of d.removed) if (!h.files.has(name) && rand.int(2) === 0) h.files.set(name, text);
-  for (const [name, text] of d.loose) if (rand.int(2) === 0) leave(h, name, text);
-  d.removed.clear();
-  d.loose.clear();
-  if (how === 'disk') h.files.clear();
-};
-
 export const world = {
   open: (o: { seed: number; zoneDelay: Us; clientDelay: Us; clientIp: string; diskTime?: Us }): World => {
     const rand = seeded(o.seed);
@@ -570,87 +510,12 @@
           if (!t.alive && !t.dark) later(delay(h, t) * 2, h, rejectCall);
         });
 
-    const diskOf = (h: Host): Disk => {
-      const inc = h.inc;
-      const gone = (): Promise<never> => new Promise(() => undefined);
-      const op = (after: Us): Promise<void> =>
-        new Promise((fin) => {
-          later(after, h, fin);
-        });
-      const d = h.disk;
-      const broken = (step: string, code: 'full' | 'failed'): Error => fault.make({ step: `disk.${step}`, code }, code);
-      const sync = async (): Promise<void> => {
-        const usual = o.diskTime ?? 1000;
-        await op(Math.round((usual * 0.2 + rand.int(Math.round(usual * 0.8))) * d.slow));
-        while (now < d.hangsUntil) await op(d.hangsUntil - now);
-        if (h.inc === inc) c.syncs += 1;
-      };
-      const folderSync = async (): Promise<void> => {
-        const before = [...d.removed.keys()];
-        await sync();
-        for (const name of before) d.removed.delete(name);
-      };
-      const settle = (p: DiskWrite): void => {
-        const text = p.taken!;
-        if (rand.next() < d.fail.sync) {
-          // Nobody knows what the disk holds then.
-          if (p.inPlace) leave(h, p.name, damaged(rand, text));
-          return p.fail(broken('sync', 'failed'));
-        }
-        const renamed = p.inPlace || rand.next() >= d.fail.rename;
-        // A rename that fails may have happened all the same.
-        if (renamed || rand.int(2) === 0) h.files.set(p.name, text);
-        if (renamed) p.done();
-        else p.fail(broken('rename', 'failed'));
-      };
-      const next = async (): Promise<void> => {
-        // Goes on with what is added meanwhile.
-        for (const p of d.line) {
-          d.line.delete(p);
-          d.busy = p;
-          if (!d.full) {
-            p.taken = p.text();
-            await sync();
-            if (!p.inPlace || d.syncFolder) await folderSync();
-            if (h.inc !== inc) return;
-            settle(p);
-          } else p.fail(broken('write', 'full'));
-          d.busy = null;
-        }
-      };
-      const write = async (name: string, inPlace: boolean, text: () => string): Promise<void> => {
-        if (d.full) throw broken('write', 'full');
-        if (rand.next() < d.fail.write) throw broken('write', 'failed');
-        const over = new Promise<void>((done, fail) => d.line.add({ name, inPlace, text, done, fail }));
-        if (!d.busy) void next();
-        await over;
-        if (h.inc !== inc) return gone();
-      };
-      return {
-        put: (name, text) => write(name, false, () => text),
-        create: (name, text) => write(name, true, text),
-        settle: async () => {
-          if (d.loose.size + d.removed.size === 0) return;
-          await folderSync();
-          d.loose.clear();
-        },
-        get: async (name) => {
-          // Several at once do not end in the order in which they began.
-          await op(10 + rand.int(40));
-          if (rand.next() < d.fail.read) throw broken('read', 'failed');
-          return h.files.get(name);
-        },
-        list: async () => {
-          await op(30);
-          return [...h.files.keys()].sort();
-        },
-        drop: async (name) => {
-          await op(30);
-          const text = h.files.get(name);
-          if (text !== undefined) d.removed.set(name, text);
-          h.files.delete(name);
-        },
-      };
+    const diskGround: DiskGround<Host> = {
+      rand,
+      now: () => now,
+      later,
+      syncTime: o.diskTime ?? us.ms(1),
+      onSync: () => void (c.syncs += 1),
     };
 
     return {
@@ -672,17 +537,7 @@
           frozen: false,
           late: [],
           files: new Map(),
-          disk: {
-            line: new Set(),
-            busy: null,
-            slow: 1,
-            hangsUntil: 0,
-            full: false,
-            syncFolder: false,
-            loose: new Map(),
-            removed: new Map(),
-            fail: { write: 0, sync: 0, rename: 0, read: 0 },
-          },
+          disk: simulatedDisk.state(),
           skew: 0,
           frames: new Map(),
           http: new Map(),
@@ -709,7 +564,7 @@
             },
           },
           rand: r,
-          disk: diskOf(h),
+          disk: simulatedDisk.of(diskGround, h),
           net: netOf(h, callerOf(h)),
           log: (part) => (text) => logger(now, h.ip, part, text),
         };
@@ -755,7 +610,7 @@
         const open = [...h.open];
         h.open.clear();
         for (const f of open) f(how !== 'process');
-        endDisk(rand, h, how);
+        simulatedDisk.end(rand, h, how);
       },
       start: (h) => {
         h.alive = true;
