Requests passed on unread: a module for each stage, errors as one typed table

forward.ts held state, six stages and the end of a request in 554 lines, with fields named by a letter, and each refusal named its status by hand; the status of an error stood at up to nine places for two interfaces.

Behaviour is kept but for one thing: the tokens of an event are those configured when the request came (a service removed meanwhile counted as one token an event).

--- a/packages/data-plane/src/chat.ts
+++ b/packages/data-plane/src/chat.ts
@@ -3,6 +3,7 @@
 import { fault, invariant, us, type HttpSay, type Us } from '@thornsail/runtime';
 import type { Released } from './admission.js';
 import { accountOf, keyOf, type Charged, type Chat } from './books.js';
+import type { ErrorCode } from './errors.js';
 import { claimKey, silenceLimit, slotLimit, untilRoom, worker, type Edge } from './edge.js';
 import { relay } from './relay.js';
 import type { Ran } from './say.js';
@@ -43,7 +44,7 @@
 const quiet = (r: Run, forced = false): Us => silenceLimit - spent(r) - r.x.adm.ahead(r.p.cls, forced);
 
 /** Gives the turn up before anything was sent: the answer goes out first, the books follow. */
-const no = (r: Run, status: number, error: string, text: string, retryAfter: number | null, ran?: Ran): 'done' => {
+const no = (r: Run, error: ErrorCode, text: string, retryAfter: number | null, ran?: Ran): 'done' => {
   const { x, p } = r;
   r.st.go('reject');
   if (r.inTable) x.adm.end(r.turn, { tokens: null, final: false, worker: null });
@@ -54,22 +55,22 @@
     if (r.claimed) await x.books.unclaim(keyOf(p), r.first);
   };
   void close().finally(() => x.inFlight.delete(r.first));
-  x.say.reject(r.say, status, error, text, ran ?? r.st.ran(), retryAfter);
+  x.say.reject(r.say, error, text, ran ?? r.st.ran(), retryAfter);
   return 'done';
 };
 const gone = (r: Run): 'done' => {
   r.x.bump('orphaned');
-  return no(r, 499, 'gone', 'the client went away', null);
+  return no(r, 'gone', 'the client went away', null);
 };
 const overBudget = (r: Run): 'done' => {
   r.x.bump('budget_rejected');
-  return no(r, 403, 'budget_spent', 'the budget of this program is spent', null);
+  return no(r, 'budget_spent', 'the budget of this program is spent', null);
 };
-const noKeepers = (r: Run, text: string, ran?: Ran): 'done' => no(r, 503, 'no_keepers', text, r.x.say.backoff(), ran);
+const noKeepers = (r: Run, text: string, ran?: Ran): 'done' => no(r, 'no_keepers', text, r.x.say.backoff(), ran);
 
 const claim = (r: Run): Promise<Next> =>
   claimKey(r, r.first, left(r), (text, error) =>
-    error === 'stale' ? no(r, 503, 'stale', text, 1, 'unknown') : noKeepers(r, text, 'unknown'),
+    error === 'stale' ? no(r, 'stale', text, 1, 'unknown') : noKeepers(r, text, 'unknown'),
   );
 
 /** Reads what is kept: the conversation, and of a program that is new to this edge its purse (§4.4). */
@@ -85,7 +86,7 @@
     const bytes = Buffer.byteLength(JSON.stringify(messages), 'utf8');
     const limits = x.config().limits;
     if (kept && bytes > limits.maxKeptBytes)
-      return no(r, 413, 'conversation_full', `a kept conversation has at most ${limits.maxKeptBytes} bytes`, null);
+      return no(r, 'conversation_full', `a kept conversation has at most ${limits.maxKeptBytes} bytes`, null);
     const bound = Math.ceil(bytes / limits.promptBytesPerToken) + 16;
     return {
       messages,
@@ -124,8 +125,8 @@
 const notAdmitted = (r: Run, why: 'turns' | 'programs' | 'busy' | 'gone'): 'done' => {
   if (why === 'gone') return gone(r);
   const again = r.x.say.backoff();
-  if (why === 'busy') return no(r, 429, 'turn_open', 'another turn of this program is open', again);
-  return no(r, 503, 'full', `the table of ${why} is full`, again);
+  if (why === 'busy') return no(r, 'turn_open', 'another turn of this program is open', again);
+  return no(r, 'full', `the table of ${why} is full`, again);
 };
 
 const slot = async (r: Run): Promise<WorkerEntry | 'done'> => {
@@ -136,8 +137,8 @@
   const s = await want.got;
   if (s.ok) return s.worker;
   const again = x.say.backoff();
-  if (s.why === 'none') return no(r, 503, 'no_worker', 'no model worker is there', again);
-  return no(r, 429, 'busy', 'all workers of this class are taken', again);
+  if (s.why === 'none') return no(r, 'no_worker', 'no model worker is there', again);
+  return no(r, 'busy', 'all workers of this class are taken', again);
 };
 
 /** Reserves the turn's most in the program's budget, before it is sent (§5.3). */
@@ -157,7 +158,7 @@
     r.charged = got.ok;
     if (r.charged) break;
     // Other turns of the program hold the rest of its budget: one may be settling right now.
-    if (left(r) < us.ms(400)) return no(r, 429, 'turn_open', 'other turns of this program hold its budget', 1);
+    if (left(r) < us.ms(400)) return no(r, 'turn_open', 'other turns of this program hold its budget', 1);
     await untilRoom(x, p.program, p.of.budgetTokens, { left: left(r) - us.ms(400), gone: () => r.say.gone() });
   }
   x.adm.sawCharge(x.lens.clock.now() - begun);
@@ -168,11 +169,11 @@
 /** The last look before sending: news as fresh as it must be, a worker that stays, a client that still waits. */
 const clear = async (r: Run, to: WorkerEntry): Promise<WorkerEntry | Next> => {
   const { x } = r;
-  if (!(await x.freshen())) return no(r, 503, 'stale', 'this node has just woken and could not refresh its news', 1);
+  if (!(await x.freshen())) return no(r, 'stale', 'this node has just woken and could not refresh its news', 1);
   const now = x.adm.worker(to.id);
   if (!now || now.leaving) return 'again';
   if (r.say.gone()) return gone(r);
-  if (left(r) <= 0) return no(r, 503, 'late', 'the time left ran out before anything was sent', 1);
+  if (left(r) <= 0) return no(r, 'late', 'the time left ran out before anything was sent', 1);
   return now;
 };
 
@@ -244,7 +245,7 @@
   r.inTable = false;
   if (how === 'empty') {
     const text = 'the worker was lost before its first token';
-    x.say.reject(r.say, 502, 'outcome_unknown', text, 'unknown', p.once ? null : 1);
+    x.say.reject(r.say, 'worker_lost', text, 'unknown', p.once ? null : 1);
     return 'done';
   }
   x.bump('cut');
@@ -278,7 +279,7 @@
     if (s.how === 'unsent') {
       r.st.go('unsent');
       elsewhere();
-      return round < 3 && left(r) > 0 ? 'again' : no(r, 503, 'no_worker', 'no worker could be reached', 1);
+      return round < 3 && left(r) > 0 ? 'again' : no(r, 'no_worker', 'no worker could be reached', 1);
     }
     const next = await lost(r, c, s.how, round);
     if (next === 'again') r.not.add(to.id);
--- a/packages/data-plane/src/edge.ts
+++ b/packages/data-plane/src/edge.ts
@@ -6,6 +6,7 @@
 import type { Mooring } from '@thornsail/membership';
 import type { Admission } from './admission.js';
 import { keyOf, type Books, type Chat, type Claimed, type Done, type Job, type Once } from './books.js';
+import { errors } from './errors.js';
 import { completion, type Say } from './say.js';
 import type { Stages } from './stage.js';
 
@@ -119,12 +120,12 @@
   if (once.sum !== undefined && once.sum !== p.sum) {
     const message = 'this key came with another request before';
     const body = { error: 'key_reused', field: 'idempotency-key', message, ran: 'unknown' };
-    return x.say.json(say, 422, body, { 'x-thornsail-ran': 'unknown' });
+    return x.say.json(say, errors.status('chat', 'key_reused'), body, { 'x-thornsail-ran': 'unknown' });
   }
   const d = await recorded(x, p, once);
   if (d) return replay(x, p, say, d);
   if (!once.done && (await stillOpen(x, once)))
-    return x.say.reject(say, 409, 'in_progress', 'a request with this key is being served', 'unknown', 1);
+    return x.say.reject(say, 'in_progress', 'a request with this key is being served', 'unknown', 1);
   // Its edge may only seem dead, and what it wrote may be on its way. The caller is going to look at what is kept, and
   // to send the message under another key if it is not there: from here on it does not come any more (§5.5).
   let late: Done | undefined;
@@ -133,11 +134,11 @@
   } catch (e) {
     x.lens.log('fairway')(`a turn could not be fenced: ${fault.text(e)}.`);
     const why = 'whether the turn with this key is kept could not be settled by a majority';
-    return x.say.reject(say, 503, 'no_keepers', why, 'unknown', x.say.backoff());
+    return x.say.reject(say, 'no_keepers', why, 'unknown', x.say.backoff());
   }
   if (late) return replay(x, p, say, late);
   const text = 'a request with this key was sent and its outcome is not known';
-  return x.say.reject(say, 409, 'outcome_unknown', text, 'unknown', null);
+  return x.say.reject(say, 'outcome_unknown', text, 'unknown', null);
 };
 
 type Claiming = { x: Edge; p: Chat | Job; say: HttpSay; st: Stages; claimed: boolean };
--- /dev/null
+++ b/packages/data-plane/src/forward/claim.ts
@@ -0,0 +1,67 @@
+// A key's operation, whichever edge it reaches (§5.4): claimed by majority before any wait, repeated from its record.
+import { createHash } from 'node:crypto';
+import { fault, us } from '@thornsail/runtime';
+import type { Answer, Claimed, Key, Once } from '../books.js';
+import { stillOpen } from '../edge.js';
+import type { Forward } from './plan.js';
+import { requests, type Next, type Request } from './request.js';
+
+const leastTime = us.ms(50);
+
+const keyOf = (plan: Forward): Key => ({
+  name: plan.key!,
+  sum: createHash('sha256').update(`${plan.method} ${plan.target}\n`).update(plan.body).digest('base64').slice(0, 22),
+});
+
+const replay = ({ edge, response }: Request, answer: Answer): void => {
+  edge.bump('replayed');
+  if (response.gone()) return;
+  const body = Buffer.from(answer.body, 'latin1');
+  response.head(answer.status, [...answer.headers, 'content-length', String(body.length)]);
+  response.end(body);
+};
+/** The answer to a request whose key is claimed by another one. */
+const repeated = async (request: Request, once: Once, sum: string): Promise<void> => {
+  if (once.sum !== undefined && once.sum !== sum)
+    return requests.answerError(request, 'key_reused', 'this key came with another request before', null);
+  const answer = once.done as Answer | null;
+  if (answer && answer.status > 0) return replay(request, answer);
+  if (!answer && (await stillOpen(request.edge, once))) {
+    const text = 'a request with this key is being served';
+    return requests.answerError(request, 'in_progress', text, requests.soon(request));
+  }
+  // Nothing is at work any more, and nothing is promised: it may have run.
+  const text = 'a request with this key was sent and its outcome is not known';
+  return requests.answerError(request, 'outcome_unknown', text, null);
+};
+
+/** Claims the request's key, if it has one. */
+export const claim = async (request: Request): Promise<Next> => {
+  const { edge, plan, stages, bookings, id } = request;
+  if (plan.key === null) return 'again';
+  // An old copy that a frozen node still held may have run elsewhere meanwhile: no promise is made.
+  if (edge.mooring.stale() && !(await edge.freshen())) {
+    stages.go('reject');
+    requests.answerError(request, 'outcome_unknown', 'this node has just woken', null);
+    return 'done';
+  }
+  const key = keyOf(plan);
+  let claimed: Claimed;
+  try {
+    claimed = await edge.books.claim(key, id, Math.max(leastTime, requests.left(request)));
+  } catch (e) {
+    requests.log(request, `a claim failed: ${fault.text(e)}.`);
+    stages.go('reject');
+    requests.answerError(request, 'outcome_unknown', 'the claim could not be kept by a majority', null);
+    bookings.closing = true;
+    void edge.books.unclaim(key, id, 0).finally(() => edge.inFlight.delete(id));
+    return 'done';
+  }
+  if (claimed.ok) {
+    bookings.key = key;
+    return 'again';
+  }
+  stages.go('reject');
+  await repeated(request, claimed.once, key.sum);
+  return 'done';
+};
--- a/packages/data-plane/src/forward/dialect.ts
+++ b/packages/data-plane/src/forward/dialect.ts
@@ -2,7 +2,8 @@
 // names. One that keeps its meanings in headers is a table of their names.
 import type { Config, Route } from '@thornsail/config-schema';
 import { us, type HttpAsk, type Us } from '@thornsail/runtime';
-import type { Forward, ForwardPlan, Refused, Turn } from './plan.js';
+import { errors } from '../errors.js';
+import { refused, type Forward, type ForwardPlan, type Refused, type Turn } from './plan.js';
 
 /** Header names in lower case. */
 export type HeaderNames = {
@@ -90,13 +91,6 @@
   return best;
 };
 
-const refuse = (status: number, error: string, field: string | null, text: string): Refused => ({
-  kind: 'refuse',
-  status,
-  error,
-  field,
-  text,
-});
 const printable = /^[\x21-\x7e]{1,200}$/;
 const number = /^\d{1,12}(\.\d{1,6})?$/;
 const isRefused = (x: unknown): x is Refused => (x as Refused | null)?.kind === 'refuse';
@@ -107,7 +101,7 @@
   (name: string, ok: RegExp, what: string): string | null | Refused => {
     const v = ask.headers[name];
     if (v === undefined) return null;
-    return ok.test(v) ? v : refuse(400, 'bad_field', name, what);
+    return ok.test(v) ? v : refused('bad_field', name, what);
   };
 const turnOf = (ask: HttpAsk, n: HeaderNames): Turn | null | Refused => {
   const read = reader(ask);
@@ -133,14 +127,14 @@
 
 const planOf = (ask: HttpAsk, config: Config, n: HeaderNames, set: ReadonlySet<string>): ForwardPlan => {
   const host = ask.headers['host'];
-  if (host === undefined) return refuse(400, 'missing_field', 'host', 'a host is needed');
+  if (host === undefined) return refused('missing_field', 'host', 'a host is needed');
   // As it came: what a worker gets unchanged is what chooses its route.
   const route = routeOf(config, host, ask.target.split('?', 1)[0]!);
-  if (!route) return refuse(404, 'no_such_route', null, 'no route leads there');
-  if (ask.tooBig) return refuse(413, 'too_large', 'body', `the body is over ${config.limits.maxBodyBytes} bytes`);
+  if (!route) return refused('no_such_route', null, 'no route leads there');
+  if (ask.tooBig) return refused('too_large', 'body', `the body is over ${config.limits.maxBodyBytes} bytes`);
   const read = reader(ask);
   const attempt = read(n.attempt, printable, '1 to 200 printable characters');
-  if (attempt === null) return refuse(400, 'missing_field', n.attempt, 'every attempt carries an id of its own');
+  if (attempt === null) return refused('missing_field', n.attempt, 'every attempt carries an id of its own');
   const deadline = read(n.deadlineMs, number, 'a number of milliseconds');
   const key = read(n.key, printable, '1 to 200 printable characters');
   const previous = read(n.previous, printable, '1 to 200 printable characters');
@@ -148,7 +142,7 @@
   const usage = usageOf(ask, n);
   for (const x of [attempt, deadline, key, previous, turn, usage]) if (isRefused(x)) return x;
   if (route.semantics === 'keyed' && key === null)
-    return refuse(400, 'missing_field', n.key, 'requests of this route carry a key');
+    return refused('missing_field', n.key, 'requests of this route carry a key');
   const stream = route.semantics === 'stream';
   return {
     kind: 'forward',
@@ -213,7 +207,11 @@
           'application/json',
           ...(retryAfter === null ? [] : ['retry-after', retryAfter.toFixed(3)]),
         ],
-        body: JSON.stringify({ error: r.error, ...(r.field === null ? {} : { field: r.field }), message: r.text }),
+        body: JSON.stringify({
+          error: errors.name(r.error),
+          ...(r.field === null ? {} : { field: r.field }),
+          message: r.text,
+        }),
       }),
     };
   },
--- /dev/null
+++ b/packages/data-plane/src/forward/finish.ts
@@ -0,0 +1,134 @@
+// What follows an exchange with a worker (§5.4, §5.9): the end of its answer, another worker, or the request's end.
+import type { WorkerEntry } from '@thornsail/load-balancer';
+import { fault, us } from '@thornsail/runtime';
+import { events } from './events.js';
+import type { Outcome } from './exchange.js';
+import { requests, type Next, type Request } from './request.js';
+
+/** So many more workers are tried where those before them were not there. */
+const extraSends = 3;
+const leastTimeToResend = us.ms(20);
+
+/** Ends a request whose client has part of an answer, or none: what reached it is settled, the rest is cut off. */
+const cutOff = (request: Request): 'done' => {
+  void requests.settle(request, requests.tokensRelayed(request), null);
+  requests.leaveScheduler(request, null, null);
+  request.response.cut();
+  return 'done';
+};
+
+/** The end of a stream: kept and settled first, beside one another; a turn that cannot be kept is cut (§5.9). */
+const endStream = async (request: Request, worker: WorkerEntry, rest: Uint8Array): Promise<'done'> => {
+  const { plan, forwarding, edge, context, relayed, response } = request;
+  const used = requests.tokensRelayed(request);
+  const settled = requests.settle(request, used, worker.id);
+  try {
+    if (plan.route.keepSeconds > 0) {
+      const input = Buffer.from(plan.body).toString('latin1');
+      const turn = { chain: context.chain, input, output: relayed.output };
+      await forwarding.kept.keep(plan.attempt, turn, plan.route.keepSeconds, requests.closeWithin);
+    }
+    await settled;
+  } catch (e) {
+    requests.log(request, `a turn was not kept, so its stream is cut: ${fault.text(e)}.`);
+    requests.leaveScheduler(request, context.prompt + used, worker.id);
+    request.stages.go('lose');
+    edge.bump('cut');
+    response.cut();
+    return 'done';
+  }
+  requests.leaveScheduler(request, context.prompt + used, worker.id);
+  request.stages.go('end');
+  edge.bump('results');
+  if (!response.gone()) {
+    if (rest.length) response.write(rest);
+    response.end();
+  }
+  return 'done';
+};
+
+/** The end of an answer that is no stream; that of a key is recorded first. */
+const endAnswer = async (
+  request: Request,
+  worker: WorkerEntry,
+  answer: Outcome & { how: 'answer' },
+): Promise<'done'> => {
+  const { edge, bookings, response } = request;
+  const { status, headers, body } = answer;
+  request.stages.go('relay');
+  void requests.settle(request, 0, worker.id);
+  requests.leaveScheduler(request, null, worker.id);
+  if (bookings.key)
+    await edge.books.record(bookings.key, request.id, { status, headers, body: body.toString('latin1') });
+  request.stages.go('end');
+  edge.bump('results');
+  if (response.gone()) return 'done';
+  response.head(status, [...headers, 'content-length', String(body.length)]);
+  response.end(body);
+  return 'done';
+};
+
+/** What may be sent again is, to another worker; else its outcome is told as far as it is known (§5.4). */
+const lost = (request: Request, worker: WorkerEntry, outcome: Outcome & { how: 'lost' | 'cut' }): Next => {
+  const { edge, plan, placement, relayed, response } = request;
+  requests.log(request, `${plan.attempt} was lost at ${worker.id}: ${outcome.why}.`);
+  placement.excluded.add(worker.id);
+  placement.preferred = null;
+  if (relayed.last) relayed.lastId = events.fields(relayed.last).id ?? relayed.lastId;
+  const repeats = outcome.how === 'lost' && plan.route.semantics === 'idempotent';
+  const resumes = plan.route.semantics === 'stream' && plan.route.resumable;
+  const mayGoOn = placement.sends < plan.route.maxAttempts && requests.left(request) > 0 && !response.gone();
+  request.stages.go('lose');
+  if ((repeats || resumes) && mayGoOn) {
+    edge.bump('retried');
+    request.stages.go('again');
+    return 'again';
+  }
+  edge.bump('lost');
+  if (relayed.headSent) return cutOff(request);
+  void requests.settle(request, requests.tokensRelayed(request), null);
+  requests.leaveScheduler(request, null, null);
+  requests.answerError(request, 'worker_lost', 'the worker was lost', null);
+  return 'done';
+};
+
+/** Nothing of it ran: another worker may have it. */
+const unsent = (request: Request, worker: WorkerEntry, outcome: Outcome & { how: 'unsent' }): Next => {
+  const { edge, plan, placement, relayed } = request;
+  request.stages.go('unsent');
+  placement.excluded.add(worker.id);
+  placement.preferred = null;
+  if (outcome.worker) edge.adm.bad(worker.id);
+  const most = plan.route.maxAttempts + (outcome.worker ? extraSends : 0);
+  if (placement.sends < most && requests.left(request) > leastTimeToResend) return 'again';
+  // A stream that was already begun and cannot go on anywhere is cut.
+  if (relayed.headSent) return cutOff(request);
+  return requests.reject(request, 'no_worker', `no worker took it: ${outcome.why}`, requests.soon(request));
+};
+
+const clientLeft = (request: Request, worker: WorkerEntry): 'done' => {
+  request.edge.bump('orphaned');
+  request.stages.go('lose');
+  void requests.settle(request, requests.tokensRelayed(request), worker.id);
+  requests.leaveScheduler(request, request.context.prompt, worker.id);
+  return 'done';
+};
+
+/** What becomes of the request after one exchange. */
+export const finish = async (request: Request, worker: WorkerEntry, outcome: Outcome): Promise<Next> => {
+  switch (outcome.how) {
+    case 'streamed':
+      return endStream(request, worker, outcome.rest);
+    case 'answer':
+      return endAnswer(request, worker, outcome);
+    case 'gone':
+      return clientLeft(request, worker);
+    case 'unsent':
+      return unsent(request, worker, outcome);
+    case 'lost':
+      request.edge.adm.bad(worker.id);
+      return lost(request, worker, outcome);
+    case 'cut':
+      return lost(request, worker, outcome);
+  }
+};
--- a/packages/data-plane/src/forward/plan.ts
+++ b/packages/data-plane/src/forward/plan.ts
@@ -1,6 +1,7 @@
 // The plan of a request that is passed on unread (§5.7): made first, as data, in whatever words its dialect has.
 import type { Route } from '@thornsail/config-schema';
 import type { Us } from '@thornsail/runtime';
+import { errors, type ErrorCode } from '../errors.js';
 
 /** A turn of a program (§4): what its caller says of the program besides the request itself. */
 export type Turn = {
@@ -34,9 +35,18 @@
   /** The last event that the caller has seen of this stream. */
   lastEvent: string | null;
 };
-export type Refused = { kind: 'refuse'; status: number; error: string; field: string | null; text: string };
+export type Refused = { kind: 'refuse'; status: number; error: ErrorCode; field: string | null; text: string };
 export type ForwardPlan = Forward | Refused;
 
+/** A refusal with the status of its error. `field` names what is wrong in the request, if anything is. */
+export const refused = (error: ErrorCode, field: string | null, text: string): Refused => ({
+  kind: 'refuse',
+  status: errors.status('unread', error),
+  error,
+  field,
+  text,
+});
+
 /** Whether a request may run more than once (§5.4). */
 export const repeatable = (p: Forward): boolean =>
   p.route.semantics === 'idempotent' || (p.route.semantics === 'stream' && p.route.resumable);
--- /dev/null
+++ b/packages/data-plane/src/forward/request.ts
@@ -0,0 +1,223 @@
+// One request that is passed on unread, while it is served (§5.7): its state, the time it has left, and how it is given
+// up. The stages that carry it out stand in modules of their own.
+import { fault, us, type HttpSay, type Us } from '@thornsail/runtime';
+import type { Account, Key } from '../books.js';
+import type { Edge } from '../edge.js';
+import type { ErrorCode } from '../errors.js';
+import { stages, type Stages } from '../stage.js';
+import type { Connections } from './connections.js';
+import type { Dialect } from './dialect.js';
+import type { KeptTurns } from './kept.js';
+import { refused, type Forward } from './plan.js';
+
+/** What all requests in one dialect share at this node. */
+export type Forwarding = {
+  edge: Edge;
+  dialect: Dialect;
+  connections: Connections;
+  kept: KeptTurns;
+  /** How many edges share what a worker accepts. */
+  edges: () => number;
+};
+
+/** What the request holds in the registers, to be closed at its end. */
+type Bookings = {
+  key: Key | null;
+  account: Account | null;
+  /** The answer is out, and the books are being closed behind it. */
+  closing: boolean;
+};
+/** Where the scheduler and earlier sends lead the request. */
+type Placement = {
+  /** Chosen once, by the route's weights. */
+  service: string;
+  /** Tokens in an event of the service, as configured when the request came. */
+  tokensPerEvent: number;
+  /** The worker that the scheduler prefers. */
+  preferred: string | null;
+  /** The preferred worker has the context of the program's earlier turns. */
+  warm: boolean;
+  forced: boolean;
+  /** The line of turns stands in the scheduler's table. */
+  scheduled: boolean;
+  excluded: Set<string>;
+  /** Workers that it was sent to and that may have run it. */
+  sends: number;
+};
+/** What the worker is given besides the request's own words. */
+type Context = {
+  /** Earlier turns, oldest first. */
+  chain: string[];
+  /** The turn before it was answered by another edge. */
+  elsewhere: boolean;
+  body: Uint8Array;
+  /** Tokens of the prompt, as the scheduler counts them. */
+  prompt: number;
+};
+/** What has reached the client. */
+type Relayed = {
+  headSent: boolean;
+  events: number;
+  /** The last event that has data. */
+  last: Buffer | null;
+  /** Id of the last event that the client has, from this answer or an earlier one. */
+  lastId: string | null;
+  /** Data of the events, a line each; only where turns are kept. */
+  output: string;
+};
+export type Request = {
+  forwarding: Forwarding;
+  edge: Edge;
+  plan: Forward;
+  response: HttpSay;
+  stages: Stages;
+  arrivedAt: Us;
+  /** Names this request's claim, charge and place in the scheduler's table. */
+  id: string;
+  bookings: Bookings;
+  placement: Placement;
+  context: Context;
+  relayed: Relayed;
+};
+/** `again`: the next stage, or another worker; `done`: the request has its final answer. */
+export type Next = 'done' | 'again';
+
+/** The service that this request goes to: by weight, where a route is split. `draw` is from 0 up to 1. */
+const serviceOf = (plan: Forward, draw: number): string => {
+  const { targets } = plan.route;
+  const sum = targets.reduce((total, target) => total + target.weight, 0);
+  let rest = draw * sum;
+  for (const target of targets) {
+    if (target.weight <= 0) continue;
+    rest -= target.weight;
+    if (rest < 0) return target.service;
+  }
+  return targets.find((target) => target.weight > 0)!.service;
+};
+
+/** A service that tells nothing counts an event as a token. */
+const tokensPerEventOf = (edge: Edge, service: string): number =>
+  edge.config().services.find((known) => known.name === service)?.tokensPerEvent ?? 1;
+
+const open = (forwarding: Forwarding, plan: Forward, response: HttpSay, arrivedAt: Us): Request => {
+  const { edge } = forwarding;
+  const service = serviceOf(plan, edge.lens.rand.next());
+  return {
+    forwarding,
+    edge,
+    plan,
+    response,
+    stages: stages.open(),
+    arrivedAt,
+    id: `${edge.me}.${edge.lens.rand.id()}`,
+    bookings: { key: null, account: null, closing: false },
+    placement: {
+      service,
+      tokensPerEvent: tokensPerEventOf(edge, service),
+      preferred: null,
+      warm: false,
+      forced: false,
+      scheduled: false,
+      excluded: new Set(),
+      sends: 0,
+    },
+    context: { chain: [], elsewhere: false, body: plan.body, prompt: plan.usage.prompt },
+    relayed: { headSent: false, events: 0, last: null, lastId: plan.lastEvent, output: '' },
+  };
+};
+
+/** A caller gives a stream up after the longest of these without an event (§4.3). */
+const leastPatience = us.s(2);
+/** An answer needs so long to reach a caller who is about to give up. */
+const patienceMargin = us.ms(150);
+const patienceOf = ({ route }: Forward): Us =>
+  Math.max(leastPatience, us.ms(4 * route.aimMs), us.ms(8 * route.gapMs)) - patienceMargin;
+
+const spent = (request: Request): Us => request.edge.lens.clock.now() - request.arrivedAt;
+/** Until the caller's deadline. */
+const left = (request: Request): Us => request.plan.deadline - spent(request);
+/** Until the caller gives up waiting for a first event. */
+const untilGivenUp = (request: Request): Us => {
+  const untilDeadline = left(request);
+  if (request.plan.route.semantics !== 'stream') return untilDeadline;
+  return Math.min(untilDeadline, patienceOf(request.plan) - spent(request));
+};
+
+const log = (request: Request, text: string): void => request.edge.lens.log('fairway')(text);
+
+/** The final answer of a request that is given up, at once (§4.3). `retryAfter` in seconds, or null. */
+const answerError = (request: Request, code: ErrorCode, text: string, retryAfter: number | null): void => {
+  const { response, relayed, edge, forwarding } = request;
+  if (response.gone()) return;
+  if (relayed.headSent) return response.cut();
+  edge.bump('rejected');
+  const words = forwarding.dialect.refuse(refused(code, null, text), retryAfter);
+  response.head(words.status, [...words.headers, 'content-length', String(Buffer.byteLength(words.body))]);
+  response.end(words.body);
+};
+/** Soon, and spread out: those refused together do not come back together. In seconds. */
+const soon = (request: Request): number => 0.1 + 0.2 * request.edge.lens.rand.next();
+
+const leaveScheduler = (request: Request, tokens: number | null, worker: string | null, final = false): void => {
+  const { placement, edge, id } = request;
+  if (placement.scheduled) edge.adm.end(id, { tokens, final, worker });
+  placement.scheduled = false;
+};
+
+/** How long the books may take to close before a stream's end. */
+const closeWithin = us.ms(900);
+/** Tokens that reached the client: what it has is known, what a worker went on to make is not its. */
+const tokensRelayed = ({ plan, relayed, placement }: Request): number =>
+  Math.min(Math.max(1, plan.usage.most), relayed.events * placement.tokensPerEvent);
+/** Settles what was used. Resolves when that is kept or has failed; a turn that is not settled stays charged (§5.3). */
+const settle = (request: Request, used: number, worker: string | null): Promise<void> => {
+  const { account } = request.bookings;
+  if (!account) return Promise.resolve();
+  const entry = { actual: used, tokens: request.context.prompt + used, worker };
+  return request.edge.books
+    .settle(account, request.id, entry, closeWithin)
+    .catch((e) => log(request, `a turn was not settled and stays charged: ${fault.text(e)}.`));
+};
+
+/** Closes the books of a request that was given up. */
+const closeBooks = async (request: Request): Promise<void> => {
+  const { edge, bookings, id } = request;
+  const ran = request.stages.ran() !== 'no';
+  if (bookings.account) {
+    if (ran) await settle(request, tokensRelayed(request), null);
+    else await edge.books.giveBack(bookings.account, id);
+  }
+  // Each attempt has an id of its own here: no copy of this one can be on its way, so the key is free at once.
+  if (bookings.key && !ran) await edge.books.unclaim(bookings.key, id, 0);
+};
+/** Gives the request up before anything was sent: the answer goes out first, the books follow. */
+const reject = (request: Request, code: ErrorCode, text: string, retryAfter: number | null): 'done' => {
+  request.stages.go('reject');
+  const programEnds = code === 'budget_spent' || code === 'no_such_turn';
+  leaveScheduler(request, null, null, programEnds);
+  request.bookings.closing = true;
+  void closeBooks(request).finally(() => request.edge.inFlight.delete(request.id));
+  answerError(request, code, text, retryAfter);
+  return 'done';
+};
+const clientGone = (request: Request): 'done' => {
+  request.edge.bump('orphaned');
+  return reject(request, 'gone', 'the client went away', null);
+};
+const noKeepers = (request: Request, text: string): 'done' => reject(request, 'no_keepers', text, soon(request));
+
+export const requests = {
+  open,
+  left,
+  untilGivenUp,
+  log,
+  answerError,
+  soon,
+  leaveScheduler,
+  tokensRelayed,
+  settle,
+  reject,
+  clientGone,
+  noKeepers,
+  closeWithin,
+};
--- a/packages/data-plane/src/index.ts
+++ b/packages/data-plane/src/index.ts
@@ -20,10 +20,12 @@
 import { books, maxTurn } from './books.js';
 import { chat } from './chat.js';
 import type { Edge } from './edge.js';
+import { errors } from './errors.js';
 import { connections } from './forward/connections.js';
 import type { Dialect } from './forward/dialect.js';
 import { forward, type Forwarding } from './forward/forward.js';
 import { kept } from './forward/kept.js';
+import { refused } from './forward/plan.js';
 import { job } from './job.js';
 import { plan as plans } from './plan.js';
 import { report } from './report.js';
@@ -231,9 +233,13 @@
         const v = await book.kept(id, us.ms(1500));
         if (v) out.json(say, 200, { conversation: id, messages: v.messages });
         else
-          out.json(say, 404, { error: 'no_such_conversation', message: 'nothing is kept under this name', ran: 'no' });
+          out.json(say, errors.status('chat', 'no_such_conversation'), {
+            error: 'no_such_conversation',
+            message: 'nothing is kept under this name',
+            ran: 'no',
+          });
       } catch {
-        out.reject(say, 503, 'no_keepers', 'no majority of keepers was reached', 'no', out.backoff());
+        out.reject(say, 'no_keepers', 'no majority of keepers was reached', 'no', out.backoff());
       }
     };
 
@@ -241,12 +247,12 @@
       bump('requests');
       // Of a request with a key, a copy may have run elsewhere: before the claim is seen nobody may say "no" (§5.4).
       const ran = ask.headers['idempotency-key'] === undefined ? 'no' : 'unknown';
-      if (!config) return out.reject(say, 503, 'not_ready', 'no configuration yet', ran, 1);
-      if (draining && ask.method === 'POST') return out.reject(say, 503, 'leaving', 'this node is leaving', ran, 1);
+      if (!config) return out.reject(say, 'not_ready', 'no configuration yet', ran, 1);
+      if (draining && ask.method === 'POST') return out.reject(say, 'leaving', 'this node is leaving', ran, 1);
       if (!inTouch() && (ran === 'unknown' || !(await mooring.refresh()) || !inTouch()))
-        return out.reject(say, 503, 'stale', 'this node is cut off from most others', ran, 1);
+        return out.reject(say, 'stale', 'this node is cut off from most others', ran, 1);
       if (inFlight.size >= config.scheduler.maxTurns)
-        return out.reject(say, 503, 'full', 'this node holds as many turns as it may', ran, out.backoff());
+        return out.reject(say, 'full', 'this node holds as many turns as it may', ran, out.backoff());
       const p = plans.make(ask, config);
       switch (p.kind) {
         case 'reject':
@@ -308,8 +314,7 @@
         say.end(w.body);
       };
       const why = await closedFor(say);
-      if (why !== null)
-        return refuse({ status: 503, error: 'closed', field: null, text: why }, 0.2 + 0.3 * lens.rand.next());
+      if (why !== null) return refuse(refused('closed', null, why), 0.2 + 0.3 * lens.rand.next());
       const p = d.plan(ask, config!);
       if (p.kind === 'refuse') {
         bump('bad_requests');
--- a/packages/data-plane/src/job.ts
+++ b/packages/data-plane/src/job.ts
@@ -2,6 +2,7 @@
 import { formats, type WorkerEntry } from '@thornsail/load-balancer';
 import { fault, us, type HttpResult, type HttpSay, type Us } from '@thornsail/runtime';
 import { keyOf, type Job } from './books.js';
+import type { ErrorCode } from './errors.js';
 import { claimKey, silenceLimit, slotLimit, worker, type Edge } from './edge.js';
 import type { Ran } from './say.js';
 import { stages, type Stages } from './stage.js';
@@ -28,16 +29,16 @@
   r.closing = true;
   void r.x.books.unclaim(keyOf(r.p), r.turn).finally(() => r.x.inFlight.delete(r.turn));
 };
-const no = (r: Run, status: number, error: string, text: string, retryAfter: number | null, ran?: Ran): 'done' => {
+const no = (r: Run, error: ErrorCode, text: string, retryAfter: number | null, ran?: Ran): 'done' => {
   r.st.go('reject');
   close(r);
-  r.x.say.reject(r.say, status, error, text, ran ?? r.st.ran(), retryAfter);
+  r.x.say.reject(r.say, error, text, ran ?? r.st.ran(), retryAfter);
   return 'done';
 };
 
 const claim = (r: Run): Promise<Next> =>
   claimKey(r, r.turn, left(r), (text, error) =>
-    no(r, 503, error, text, error === 'stale' ? 1 : r.x.say.backoff(), 'unknown'),
+    no(r, error, text, error === 'stale' ? 1 : r.x.say.backoff(), 'unknown'),
   );
 
 const slot = async (r: Run): Promise<WorkerEntry | 'done'> => {
@@ -53,8 +54,8 @@
     return 'done';
   }
   const again = x.say.backoff();
-  if (s.why === 'none') return no(r, 503, 'no_worker', 'no worker of this kind is there', again);
-  return no(r, 429, 'busy', 'all workers of this class are taken', again);
+  if (s.why === 'none') return no(r, 'no_worker', 'no worker of this kind is there', again);
+  return no(r, 'busy', 'all workers of this class are taken', again);
 };
 
 /** A byte may have reached the worker: only what is safe to repeat, and only within the retry budget. */
@@ -68,7 +69,7 @@
     return 'again';
   }
   x.bump('lost');
-  x.say.reject(r.say, 502, 'outcome_unknown', text, 'unknown', p.once ? null : 1);
+  x.say.reject(r.say, 'worker_lost', text, 'unknown', p.once ? null : 1);
   return 'done';
 };
 const wholeResult = async (res: HttpResult): Promise<string> => {
@@ -100,13 +101,13 @@
   let took: Us | null = null;
   try {
     if (round === 0) r.st.go('admit');
-    if (!(await x.freshen())) return no(r, 503, 'stale', 'this node has just woken and could not refresh its news', 1);
+    if (!(await x.freshen())) return no(r, 'stale', 'this node has just woken and could not refresh its news', 1);
     const now = x.adm.worker(to.id);
     if (!now || now.leaving) {
       r.not.add(to.id);
       return 'again';
     }
-    if (r.say.gone() || left(r) <= 0) return no(r, 503, 'late', 'the time left ran out before anything was sent', 1);
+    if (r.say.gone() || left(r) <= 0) return no(r, 'late', 'the time left ran out before anything was sent', 1);
     if (r.st.now() === 'admitted') r.st.go('charge');
     r.st.go('send');
     const sentAt = x.lens.clock.now();
@@ -122,7 +123,7 @@
       r.not.add(now.id);
       if (!got.unsent) return lost(r, 'the worker was lost before its result', round === 0);
       r.st.go('unsent');
-      return round < 3 && left(r) > 0 ? 'again' : no(r, 503, 'no_worker', 'no worker could be reached', 1);
+      return round < 3 && left(r) > 0 ? 'again' : no(r, 'no_worker', 'no worker could be reached', 1);
     }
     let body: string;
     try {
--- a/packages/data-plane/src/say.ts
+++ b/packages/data-plane/src/say.ts
@@ -1,11 +1,12 @@
 // Results that are not a worker's stream (§4.3, §5.4).
 import type { HttpSay, Rand } from '@thornsail/runtime';
+import { errors, type ErrorCode } from './errors.js';
 
 export type Ran = 'no' | 'unknown';
 export type Say = {
   json: (say: HttpSay, status: number, body: unknown, headers?: Record<string, string>) => void;
   /** The final answer of a turn that is given up, at once, with when to come back (§4.3). */
-  reject: (say: HttpSay, status: number, error: string, text: string, ran: Ran, retryAfter: number | null) => void;
+  reject: (say: HttpSay, error: ErrorCode, text: string, ran: Ran, retryAfter: number | null) => void;
   /** Whole seconds, spread out so that those refused together do not come back together. */
   backoff: () => number;
 };
@@ -38,12 +39,12 @@
     };
     return {
       json,
-      reject: (say, status, error, text, ran, retryAfter) => {
+      reject: (say, error, text, ran, retryAfter) => {
         o.bump('rejected');
         json(
           say,
-          status,
-          { error, message: text, ran },
+          errors.status('chat', error),
+          { error: errors.name(error), message: text, ran },
           { 'x-thornsail-ran': ran, ...(retryAfter === null ? {} : { 'retry-after': String(retryAfter) }) },
         );
       },
