The wire's new rules for a request that is passed on unread

Seen failing first, with workers that answer by a script (platform/test/wire.test, 12 of 18): a resumed stream asked for no version of weights and mixed two; events before Last-Event-Id were believed; a stream that was closed within an event was told as whole, with the half event; a resumed stream that got a 500 sent a second head and settled nothing of what its client had (a budget of three events gave six); a failure with an encoding passed with its stamp; a keyed answer was held 1.1 s past its deadline while keepers were frozen; what may run once was broken off when its client left.

Now: the version of the last event goes along as the one expected, from the head or an event's first line; a second head that differs, or an event that does not go on, is dropped and another worker tried; the final answer comes 0.2 s after the deadline at the latest, whatever is waited for (response.ts), and nothing is sent after it; whoever waits is told at once of a client that has gone already (the listener of real sockets tells only those who asked before); runs end with their client where they are streams or repeatable, others run to their end. A time-out is 504, no longer 502.

--- a/packages/data-plane/src/forward/dialect.ts
+++ b/packages/data-plane/src/forward/dialect.ts
@@ -19,6 +19,10 @@
   lastEvent: string;
   /** To a worker: only the one of this name may run it. */
   expectInstance: string;
+  /** To a worker: only one whose weights have this version may run it. */
+  expectVersion: string;
+  /** From a worker: the version of its weights, in its head and as a first line of the event at which it changes. */
+  weightVersion: string;
   /** From a worker: it has not run the request, and never will. */
   notRun: string;
   /** From a worker: the stamp without which a success does not count. */
@@ -36,7 +40,7 @@
   wrongInstance: boolean;
   /** A success that carries all a success must carry. */
   success: boolean;
-  /** Says success and lacks what a success must carry. */
+  /** Says success and lacks what a success must carry, or has an encoding that nobody asked for. */
   unsound: boolean;
   load: WorkerLoad | null;
   /** Seconds for which the worker keeps an idle connection. */
@@ -49,6 +53,12 @@
   incoming: (p: Forward, status: number, headers: Record<string, string>) => Incoming;
   /** The headers of an answer that are the caller's to see. */
   passed: (rawHeaders: readonly string[]) => string[];
+  /** The version of weights that headers of a worker's answer tell (name, value, ...), or null. */
+  headVersion: (headers: readonly string[]) => string | null;
+  /** The version that begins with this event, or null. */
+  eventVersion: (event: Buffer) => string | null;
+  /** How long the client waits for its answer by its own word, or null. */
+  patience: (ask: HttpAsk) => Us | null;
   /** `retryAfter` in seconds, fractions included. */
   refuse: (r: Omit<Refused, 'kind'>, retryAfter: number | null) => Words;
 };
@@ -159,6 +169,7 @@
     turn: stream ? (turn as Turn | null) : null,
     previous: stream && route.keepSeconds > 0 ? (previous as string | null) : null,
     lastEvent: stream ? (ask.headers[n.lastEvent] ?? null) : null,
+    expectVersion: ask.headers[n.expectVersion] ?? null,
   };
 };
 
@@ -174,7 +185,8 @@
 export const dialect = {
   /** A dialect that keeps all its meanings in headers. */
   byHeaders: (n: HeaderNames, wrongInstance = 421): Dialect => {
-    const set = new Set([n.deadlineMs, n.expectInstance, n.lastEvent]);
+    const set = new Set([n.deadlineMs, n.expectInstance, n.lastEvent, n.expectVersion]);
+    const versionLine = Buffer.from(`${n.weightVersion}:`, 'latin1');
     return {
       plan: (ask, config) => planOf(ask, config, n, set),
       outgoing: (p, o) => [
@@ -184,22 +196,38 @@
         n.expectInstance,
         o.instance,
         ...(o.lastEvent === null ? [] : [n.lastEvent, o.lastEvent]),
+        ...(p.expectVersion === null ? [] : [n.expectVersion, p.expectVersion]),
         ...(o.length > 0 || !['GET', 'HEAD'].includes(p.method) ? ['content-length', String(o.length)] : []),
       ],
       incoming: (p, status, headers) => {
         const success = status >= 200 && status < 300;
-        const sound = headers[n.seal] !== undefined && headers['content-encoding'] === undefined;
+        const encoded = headers['content-encoding'] !== undefined;
+        const sound = headers[n.seal] !== undefined && !encoded;
+        const notRun = headers[n.notRun] !== undefined || status === wrongInstance;
         return {
           mine: headers[n.attempt] === p.attempt || (status === wrongInstance && headers[n.attempt] === undefined),
-          notRun: headers[n.notRun] !== undefined || status === wrongInstance,
+          notRun,
           wrongInstance: status === wrongInstance,
           success: success && sound,
-          unsound: success && !sound,
+          unsound: (success && !sound) || (encoded && !notRun),
           load: loadOf(headers[n.load]),
           keepAlive: keepAliveOf(headers['keep-alive']),
         };
       },
       passed: (raw) => endToEnd(raw, none),
+      headVersion: (headers) => {
+        for (let i = 0; i < headers.length; i += 2)
+          if (headers[i]!.toLowerCase() === n.weightVersion) return headers[i + 1]!.trim();
+        return null;
+      },
+      eventVersion: (event) => {
+        if (!event.subarray(0, versionLine.length).equals(versionLine)) return null;
+        return event.toString('latin1', versionLine.length).split('\n', 1)[0]!.trim();
+      },
+      patience: (ask) => {
+        const told = ask.headers[n.deadlineMs];
+        return told !== undefined && number.test(told) ? us.ms(Number(told)) : null;
+      },
       refuse: (r, retryAfter) => ({
         status: r.status,
         headers: [
--- a/packages/data-plane/src/forward/finish.ts
+++ b/packages/data-plane/src/forward/finish.ts
@@ -1,13 +1,17 @@
 // What follows an exchange with a worker (§5.4, §5.9): the end of its answer, another worker, or the request's end.
 import type { WorkerEntry } from '@thornsail/load-balancer';
-import { fault, us } from '@thornsail/runtime';
+import { fault, time, us } from '@thornsail/runtime';
 import { events } from './events.js';
 import type { Outcome } from './exchange.js';
 import { requests, type Next, type Request } from './request.js';
 
+/** Line feed, carriage return. */
+const blanks: ReadonlySet<number> = new Set([10, 13]);
 /** So many more workers are tried where those before them were not there. */
 const extraSends = 3;
 const leastTimeToResend = us.ms(20);
+/** An answer does not wait for its record for longer than this after its deadline. */
+const recordOverrun = us.ms(100);
 
 /** Ends a request whose client has part of an answer, or none: what reached it is settled, the rest is cut off. */
 const cutOff = (request: Request): 'done' => {
@@ -58,8 +62,11 @@
   request.stages.go('relay');
   void requests.settle(request, 0, worker.id);
   requests.leaveScheduler(request, null, worker.id);
-  if (bookings.key)
-    await edge.books.record(bookings.key, request.id, { status, headers, body: body.toString('latin1') });
+  if (bookings.key) {
+    const recorded = edge.books.record(bookings.key, request.id, { status, headers, body: body.toString('latin1') });
+    const longest = Math.max(0, requests.left(request) + recordOverrun);
+    await Promise.race([recorded, time.sleep(edge.lens.clock, longest)]);
+  }
   request.stages.go('end');
   edge.bump('results');
   if (response.gone()) return 'done';
@@ -88,7 +95,8 @@
   if (relayed.headSent) return cutOff(request);
   void requests.settle(request, requests.tokensRelayed(request), null);
   requests.leaveScheduler(request, null, null);
-  requests.answerError(request, 'worker_lost', 'the worker was lost', null);
+  if (requests.left(request) <= 0) requests.answerError(request, 'timed_out', 'the worker is still at work', null);
+  else requests.answerError(request, 'worker_lost', 'the worker was lost', null);
   return 'done';
 };
 
@@ -98,7 +106,8 @@
   request.stages.go('unsent');
   placement.excluded.add(worker.id);
   placement.preferred = null;
-  if (outcome.worker) edge.adm.bad(worker.id);
+  // One that was asked for a version of weights may be well, and have another one.
+  if (outcome.worker && relayed.version === null) edge.adm.bad(worker.id);
   const most = plan.route.maxAttempts + (outcome.worker ? extraSends : 0);
   if (placement.sends < most && requests.left(request) > leastTimeToResend) return 'again';
   // A stream that was already begun and cannot go on anywhere is cut.
@@ -114,12 +123,17 @@
   return 'done';
 };
 
+const isBlank = (bytes: Uint8Array): boolean => bytes.every((byte) => blanks.has(byte));
 /** What becomes of the request after one exchange. */
 export const finish = async (request: Request, worker: WorkerEntry, outcome: Outcome): Promise<Next> => {
   switch (outcome.how) {
     case 'streamed':
+      // A connection that is closed within an event was broken off, whatever its framing says.
+      if (!isBlank(outcome.rest)) return lost(request, worker, { how: 'cut', why: 'it ended within an event' });
       return endStream(request, worker, outcome.rest);
     case 'answer':
+      // The client has a part of a stream already: no other answer can follow it.
+      if (request.relayed.headSent) return lost(request, worker, { how: 'cut', why: `status ${outcome.status}` });
       return endAnswer(request, worker, outcome);
     case 'gone':
       return clientLeft(request, worker);
--- a/packages/data-plane/src/forward/forward.ts
+++ b/packages/data-plane/src/forward/forward.ts
@@ -1,19 +1,35 @@
 // Carrying out a request that is passed on unread (§5.7), stage by stage: claim, context, charge, admission, slot,
 // send, end. A turn of a program goes through all of them, a call of a tool through some.
-import { invariant, type HttpSay, type Us } from '@thornsail/runtime';
+import { invariant, us, type HttpSay, type Us } from '@thornsail/runtime';
 import { charge, readChain } from './charge.js';
 import { claim } from './claim.js';
 import { admit, takeSlot } from './place.js';
 import type { Forward } from './plan.js';
 import { requests, type Forwarding, type Request } from './request.js';
+import { timedResponse } from './response.js';
 import { tryWorker } from './send.js';
 
 export type { Forwarding } from './request.js';
 
 const mostRounds = 100;
 
+/** So long after the deadline the final answer is given, whatever the request waits for. */
+const overrun = us.ms(200);
+
+/** The final answer of a request whose time is over. */
+const expire = (request: Request): void => {
+  request.edge.bump('timed_out');
+  // Nothing was sent, and nothing will be: its client counts as gone from here on.
+  if (request.stages.ran() === 'no')
+    requests.answerError(request, 'late', 'the time left ran out before anything was sent', requests.soon(request));
+  else requests.answerError(request, 'timed_out', 'the outcome was not known in time', null);
+};
+
 const carryOut = async (request: Request): Promise<void> => {
-  for (const stage of [claim, readChain, charge, admit]) if ((await stage(request)) === 'done') return;
+  for (const stage of [claim, readChain, charge, admit]) {
+    if ((await stage(request)) === 'done') return;
+    if (request.response.gone()) return void requests.clientGone(request);
+  }
   for (let round = 0; ; round++) {
     invariant.hold(round < mostRounds, 'a request was tried a hundred times');
     const worker = await takeSlot(request);
@@ -34,10 +50,14 @@
   const { edge } = forwarding;
   edge.bump(plan.turn ? 'turns' : 'jobs');
   const request = requests.open(forwarding, plan, response, arrivedAt);
+  const within = requests.left(request) + overrun;
+  const timed = timedResponse.open(edge.lens.clock, response, within, () => expire(request));
+  request.response = timed.response;
   edge.inFlight.add(request.id);
   try {
     await carryOut(request);
   } finally {
+    timed.stop();
     if (!request.bookings.closing) edge.inFlight.delete(request.id);
     requests.leaveScheduler(request, null, null);
   }
--- a/packages/data-plane/src/forward/plan.ts
+++ b/packages/data-plane/src/forward/plan.ts
@@ -34,6 +34,8 @@
   previous: string | null;
   /** The last event that the caller has seen of this stream. */
   lastEvent: string | null;
+  /** Only a worker with this version of its weights may run it; null: any may. */
+  expectVersion: string | null;
 };
 export type Refused = { kind: 'refuse'; status: number; error: ErrorCode; field: string | null; text: string };
 export type ForwardPlan = Forward | Refused;
@@ -47,6 +49,13 @@
   text,
 });
 
+/**
+ * Whether its run is of no use once its client has gone: it is ended then. What may run only once, and is no stream, is
+ * let run to its end (§5.7).
+ */
+export const endsWithClient = (plan: Forward): boolean =>
+  plan.route.semantics === 'idempotent' || plan.route.semantics === 'stream';
+
 /** Whether a request may run more than once (§5.4). */
 export const repeatable = (p: Forward): boolean =>
   p.route.semantics === 'idempotent' || (p.route.semantics === 'stream' && p.route.resumable);
--- a/packages/data-plane/src/forward/request.ts
+++ b/packages/data-plane/src/forward/request.ts
@@ -62,6 +62,8 @@
   last: Buffer | null;
   /** Id of the last event that the client has, from this answer or an earlier one. */
   lastId: string | null;
+  /** Version of the weights that the last event came from; null: its worker told none. */
+  version: string | null;
   /** Data of the events, a line each; only where turns are kept. */
   output: string;
 };
@@ -122,7 +124,7 @@
       sends: 0,
     },
     context: { chain: [], elsewhere: false, body: plan.body, prompt: plan.usage.prompt },
-    relayed: { headSent: false, events: 0, last: null, lastId: plan.lastEvent, output: '' },
+    relayed: { headSent: false, events: 0, last: null, lastId: plan.lastEvent, version: null, output: '' },
   };
 };
 
--- /dev/null
+++ b/packages/data-plane/src/forward/response.ts
@@ -0,0 +1,56 @@
+// The way back to a client, until its time is over (§5.7): whoever waits on its behalf is told when it has gone away,
+// and when it has had its final answer at its deadline.
+import type { Clock, HttpSay, Us } from '@thornsail/runtime';
+
+export type TimedResponse = {
+  response: HttpSay;
+  /** To be called when the request is over. */
+  stop: () => void;
+};
+
+/**
+ * `expire` gives the final answer after `within`; from then on the client counts as gone, and whatever else is said to
+ * it is dropped. It is not called if the answer has ended or the client has gone before.
+ */
+const open = (clock: Clock, raw: HttpSay, within: Us, expire: () => void): TimedResponse => {
+  let ended = false;
+  let expired = false;
+  let waiting: (() => void)[] = [];
+  const tellAll = (): void => {
+    const all = waiting;
+    waiting = [];
+    for (const tell of all) tell();
+  };
+  const isGone = (): boolean => expired || raw.gone();
+  const stop = clock.tick(Math.max(0, within), () => {
+    if (ended || isGone()) return;
+    expire();
+    expired = true;
+    tellAll();
+  });
+  raw.onGone(tellAll);
+  const response: HttpSay = {
+    head: (status, headers) => {
+      if (!expired) raw.head(status, headers);
+    },
+    write: (piece) => expired || raw.write(piece),
+    drained: () => (expired ? Promise.resolve() : raw.drained()),
+    end: (piece) => {
+      ended = true;
+      if (!expired) raw.end(piece);
+    },
+    cut: () => {
+      ended = true;
+      if (!expired) raw.cut();
+    },
+    gone: isGone,
+    onGone: (tell) => {
+      // One that is gone already tells nobody any more.
+      if (isGone()) tell();
+      else waiting.push(tell);
+    },
+  };
+  return { response, stop };
+};
+
+export const timedResponse = { open };
--- a/packages/data-plane/src/forward/send.ts
+++ b/packages/data-plane/src/forward/send.ts
@@ -1,10 +1,11 @@
 // Sending a request to one worker (§5.7): a last look at the news, a connection, the exchange, and what it relays.
 import type { WorkerEntry } from '@thornsail/load-balancer';
-import { time, us, type Us } from '@thornsail/runtime';
+import { time, us, type HttpSay, type Us } from '@thornsail/runtime';
 import type { Lease } from './connections.js';
-import { events } from './events.js';
+import { events, type StreamEvent } from './events.js';
 import { exchange, type Outcome, type StreamSink } from './exchange.js';
 import { finish } from './finish.js';
+import { endsWithClient } from './plan.js';
 import { requests, type Next, type Request } from './request.js';
 
 /** A reader that takes nothing for so long is cut off. */
@@ -27,7 +28,7 @@
   if (!now || now.leaving) return 'again';
   if (response.gone()) return requests.clientGone(request);
   if (requests.left(request) <= leastTimeToSend)
-    return requests.reject(request, 'late', 'the time left ran out before anything was sent', null);
+    return requests.reject(request, 'late', 'the time left ran out before anything was sent', requests.soon(request));
   return now;
 };
 
@@ -46,22 +47,74 @@
   edge.bump('slow_cut');
   response.cut();
 };
+/** Ends one exchange from this side, because of what its worker sent or because its client has gone. */
+type Stop = {
+  /** As the exchange watches it: told when the exchange is to end. */
+  watched: HttpSay;
+  stop: (why: string) => void;
+  /** Why it was stopped; null: it was not. */
+  why: () => string | null;
+};
+const stopOf = ({ plan, response }: Request): Stop => {
+  let why: string | null = null;
+  let waiting: (() => void)[] = [];
+  return {
+    watched: {
+      ...response,
+      onGone: (tell) => {
+        waiting.push(tell);
+        if (endsWithClient(plan)) response.onGone(tell);
+      },
+    },
+    stop: (text) => {
+      why ??= text;
+      const all = waiting;
+      waiting = [];
+      for (const tell of all) tell();
+    },
+    why: () => why,
+  };
+};
+
+/** Whether a stream that was taken up goes on behind the last event that the client has. */
+const goesOn = (lastId: string | null, event: StreamEvent): boolean => {
+  const [last, next] = [Number(lastId ?? Number.NaN), Number(events.fields(event.bytes).id ?? Number.NaN)];
+  return !(next <= last);
+};
 /** Events go to the caller as they come; what was said of the first worker stays the answer's head. */
-const sinkOf = (request: Request, sentAt: Us): StreamSink => {
+const sinkOf = (request: Request, sentAt: Us, stop: Stop): StreamSink => {
   const { edge, plan, placement, relayed, response } = request;
+  const { dialect } = request.forwarding;
+  const resumed = relayed.lastId !== null;
+  let first = true;
+  const relay = (event: StreamEvent): void => {
+    relayed.events += 1;
+    relayed.last = event.bytes;
+    relayed.version = dialect.eventVersion(event.bytes) ?? relayed.version;
+    if (plan.route.keepSeconds > 0) relayed.output += `${events.fields(event.bytes).data}\n`;
+  };
   return {
     head: (status, headers) => {
       edge.adm.sawFirst(plan.cls, edge.lens.clock.now() - sentAt, placement.forced);
       if (request.stages.now() === 'sent') request.stages.go('relay');
+      const version = dialect.headVersion(headers);
+      // An answer never mixes two versions of weights.
+      if (relayed.version !== null && version !== null && version !== relayed.version)
+        return stop.stop(`version ${version} of its weights in place of ${relayed.version}`);
+      relayed.version ??= version;
       if (relayed.headSent || response.gone()) return;
       relayed.headSent = true;
       response.head(status, headers);
     },
     event: (event) => {
+      if (stop.why() !== null) return true;
       if (event.hasData) {
-        relayed.events += 1;
-        relayed.last = event.bytes;
-        if (plan.route.keepSeconds > 0) relayed.output += `${events.fields(event.bytes).data}\n`;
+        if (resumed && first && !goesOn(relayed.lastId, event)) {
+          stop.stop('it did not go on behind the last event');
+          return true;
+        }
+        first = false;
+        relay(event);
       }
       return response.gone() || response.write(event.bytes);
     },
@@ -69,20 +122,25 @@
   };
 };
 
-const exchangeWith = (request: Request, worker: WorkerEntry, lease: Lease, sentAt: Us): Promise<Outcome> =>
-  exchange.run({
+const exchangeWith = async (request: Request, worker: WorkerEntry, lease: Lease, sentAt: Us): Promise<Outcome> => {
+  const { plan, relayed } = request;
+  const stop = stopOf(request);
+  const outcome = await exchange.run({
     lens: request.edge.lens,
     lease,
     worker,
     dialect: request.forwarding.dialect,
-    plan: request.plan,
+    plan: { ...plan, expectVersion: relayed.version ?? plan.expectVersion },
     body: request.context.body,
     left: requests.left(request),
-    lastEvent: request.relayed.lastId,
-    say: request.response,
-    sink: sinkOf(request, sentAt),
+    lastEvent: relayed.lastId,
+    say: stop.watched,
+    sink: sinkOf(request, sentAt, stop),
     most: largestAnswer,
   });
+  const why = stop.why();
+  return why === null ? outcome : { how: 'cut', why };
+};
 
 /** One worker: looked at again, sent to. `again` if another one is to be chosen. */
 export const tryWorker = async (request: Request, worker: WorkerEntry): Promise<Next> => {
