--- a/packages/data-plane/src/index.ts
+++ b/packages/data-plane/src/index.ts
@@ -59,6 +59,8 @@
 const touchWithin = us.s(2);
 /** How long a request may wait at a front that does not know the fleet yet. */
 const holdAtStart = us.ms(1500);
+/** It waits for no longer than this part of its client's time, so that another front may serve it in the rest. */
+const holdAtStartPart = 0.5;
 /** Retries within the system: so many at once, one more each second (§5.4). */
 const retryBudget = 10;
 
@@ -113,6 +115,8 @@
     const inFlight = new Set<string>();
     let leaving = false;
     let draining = false;
+    /** Requests whose handler has not ended yet: not all of them are in flight already, or still. */
+    let answering = 0;
     let closed = false;
     let config: Config | undefined;
     let configMark = 0;
@@ -287,18 +291,19 @@
     });
     let wasKnown = false;
     /** A front that has just started takes requests at once and serves them as soon as it can (§5.10). */
-    const untilKnown = async (say: HttpSay): Promise<void> => {
-      const end = clock.now() + holdAtStart;
+    const untilKnown = async (say: HttpSay, longest: Us): Promise<void> => {
+      const begun = clock.now();
+      const end = begun + longest;
       const known = (): boolean => config !== undefined && adm.hasWorkers() && regs.known();
-      while (!known() && clock.now() < end && !say.gone() && !closed) await time.sleep(clock, us.ms(20));
+      while (!known() && clock.now() < end && !say.gone() && !closed && !draining) await time.sleep(clock, us.ms(20));
       if (wasKnown || !known()) return;
       wasKnown = true;
-      log(`knows the fleet; a first request had waited ${us.toMs(clock.now() - end + holdAtStart)} ms for that.`);
+      log(`knows the fleet; a first request had waited ${us.toMs(clock.now() - begun)} ms for that.`);
     };
     /** What may be taken now; else why not. */
-    const closedFor = async (say: HttpSay): Promise<string | null> => {
+    const closedFor = async (say: HttpSay, patience: Us | null): Promise<string | null> => {
+      if (!draining) await untilKnown(say, Math.min(holdAtStart, (patience ?? Infinity) * holdAtStartPart));
       if (draining) return 'this node is leaving';
-      await untilKnown(say);
       if (!config) return 'no configuration yet';
       if (!inTouch() && (!(await mooring.refresh()) || !inTouch())) return 'this node is cut off from most others';
       return inFlight.size >= config.scheduler.maxTurns ? 'this node holds as many requests as it may' : null;
@@ -313,7 +318,7 @@
         say.head(w.status, [...w.headers, 'content-length', String(Buffer.byteLength(w.body))]);
         say.end(w.body);
       };
-      const why = await closedFor(say);
+      const why = await closedFor(say, d.patience(ask));
       if (why !== null) return refuse(refused('closed', null, why), 0.2 + 0.3 * lens.rand.next());
       const p = d.plan(ask, config!);
       if (p.kind === 'refuse') {
@@ -327,20 +332,26 @@
       forward: (d) => {
         const f: Forwarding = { edge, dialect: d, connections: pool, kept: turns, edges: fronts };
         return async (ask, say) => {
+          answering += 1;
           try {
             await passOn(f, ask, whileLeaving(say));
           } catch (e) {
             log(`a request failed: ${fault.text(e)}.`);
             say.cut();
+          } finally {
+            answering -= 1;
           }
         };
       },
       handle: async (ask, say) => {
+        answering += 1;
         try {
           await handle(ask, whileLeaving(say));
         } catch (e) {
           log(`a request failed: ${fault.text(e)}.`);
           say.cut();
+        } finally {
+          answering -= 1;
         }
       },
       ready,
@@ -349,7 +360,7 @@
         const end = clock.now() + (d.within ?? maxTurn);
         if (d.acceptFor) await time.sleep(clock, d.acceptFor);
         draining = true;
-        while (inFlight.size && clock.now() < end && !closed) await time.sleep(clock, us.ms(50));
+        while ((inFlight.size || answering) && clock.now() < end && !closed) await time.sleep(clock, us.ms(50));
       },
       limits: () => config?.limits,
       counts: () => ({
