--- a/packages/data-plane/src/forward/request.ts
+++ b/packages/data-plane/src/forward/request.ts
@@ -169,8 +169,10 @@
 /** How long the books may take to close before a stream's end. */
 const closeWithin = us.ms(900);
 /** Tokens that reached the client: what it has is known, what a worker went on to make is not its. */
-const tokensRelayed = ({ plan, relayed, placement }: Request): number =>
-  Math.min(Math.max(1, plan.usage.most), relayed.events * placement.tokensPerEvent);
+const tokensRelayed = (request: Request): number => {
+  const { plan, relayed, placement } = request;
+  return Math.min(Math.max(1, plan.usage.most), relayed.events * placement.tokensPerEvent);
+};
 /** Settles what was used. Resolves when that is kept or has failed; a turn that is not settled stays charged (§5.3). */
 const settle = (request: Request, used: number, worker: string | null): Promise<void> => {
   const { account } = request.bookings;
