Runtime: an answer without a length that is reset isn't whole; no reuse while a body is owed

Cause: undici ends an answer without a length as complete when its connection is reset (its error listener skips ECONNRESET for connections that aren't kept). Both our own connections and calls took such an answer for whole. Second: an answer that came before the request's body had left kept its connection, and the next request queued behind that body. Ruled out by the same tests: short lengths, chunks without their end, also with "close", bytes right behind an answer.

--- a/packages/runtime/src/connection.ts
+++ b/packages/runtime/src/connection.ts
@@ -1,14 +1,11 @@
 // One connection to a worker, by undici's client (§5.7). What is kept, for how long and how many there may be is for
 // `fairway` to say: here is only the exchange itself, and whether anything of it was sent.
+import type net from 'node:net';
 import { Client, type Dispatcher } from 'undici';
+import { connector } from './connector.js';
+import { flatHeaders } from './headers.js';
 import { fault, type Connection, type ExchangeEvents, type Net } from './index.js';
 
-const flat = (h: Record<string, string | string[] | undefined>): Record<string, string> => {
-  const o: Record<string, string> = {};
-  for (const [k, v] of Object.entries(h))
-    if (v !== undefined) o[k.toLowerCase()] = Array.isArray(v) ? v.join(', ') : String(v);
-  return o;
-};
 /** Names and values as they came, where the library still has them as bytes. */
 const rawOf = (c: Dispatcher.DispatchController, headers: Record<string, string | string[] | undefined>): string[] => {
   const raw = (c as unknown as { rawHeaders?: (Buffer | string)[] | null }).rawHeaders;
@@ -28,7 +25,7 @@
       if (!done) on.sent();
     },
     onResponseStart: (c, status, headers) => {
-      if (!done && status >= 200) on.head(status, flat(headers), rawOf(c, headers));
+      if (!done && status >= 200) on.head(status, flatHeaders(headers), rawOf(c, headers));
     },
     onResponseData: (_c, chunk) => {
       if (!done) on.data(chunk);
@@ -49,8 +46,12 @@
 };
 
 export const connect: Net['connect'] = (at, o) => {
+  let socket: net.Socket | undefined;
+  const opened = { timeout: o.connectWithin / 1000, keepAlive: true, keepAliveInitialDelay: 1_000 };
   const client = new Client(`http://${at}`, {
-    connect: { timeout: o.connectWithin / 1000, keepAlive: true, keepAliveInitialDelay: 1_000 },
+    connect: connector.open(opened, (it) => {
+      socket = it;
+    }),
     bodyTimeout: 0,
     headersTimeout: 0,
     pipelining: 1,
@@ -73,7 +74,10 @@
       let cut = false;
       const failed = (e: Error): Error =>
         fault.make({ step: 'exchange', sibling: at, code: (e as NodeJS.ErrnoException).code }, e.message, e);
-      const over = (): void => undefined;
+      // An answer that came before the whole request had left: nothing but the rest of its body may follow.
+      const over = (): void => {
+        if (socket && socket.writableLength > 0) closed();
+      };
       const started = (c: Dispatcher.DispatchController): void => {
         control = c;
         if (cut) c.abort(new Error('cut'));
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -259,4 +259,5 @@
   },
 };
 export { seeded } from './seeded.js';
-export { real, files, type FileCalls, type FileOptions, type Listener } from './real.js';
+export { real, files, type FileCalls, type FileOptions } from './real.js';
+export type { Listener } from './http-server.js';
