--- a/packages/data-plane/src/forward/connections.ts
+++ b/packages/data-plane/src/forward/connections.ts
@@ -5,7 +5,8 @@
 import { us, type Clock, type Connection, type Net, type Us } from '@thornsail/runtime';
 
 type Kept = { connection: Connection; idleSince: Us; idleFor: Us };
-type Pool = { idle: Kept[]; used: number };
+/** `kept`: its worker is on the list, so that a connection may be kept for its next request. */
+type Pool = { idle: Kept[]; used: number; kept: boolean };
 export type Lease = {
   connection: Connection;
   /** It has served an exchange before. */
@@ -35,9 +36,15 @@
     const pools = new Map<string, Pool>();
     const c = { opened: 0, reused: 0 };
     const poolOf = (id: string): Pool => {
-      const p = pools.get(id) ?? { idle: [], used: 0 };
-      pools.set(id, p);
-      return p;
+      const pool = pools.get(id) ?? { idle: [], used: 0, kept: true };
+      pools.set(id, pool);
+      return pool;
+    };
+    /** Its idle connections are closed now, those in use behind their answers; these count until then. */
+    const giveUp = (id: string, pool: Pool): void => {
+      pool.kept = false;
+      for (const { connection } of pool.idle.splice(0)) connection.close();
+      if (pool.used === 0) pools.delete(id);
     };
     const fit = (k: Kept): boolean => k.connection.open() && o.clock.now() - k.idleSince < k.idleFor;
     const rested = (pool: Pool): Connection | undefined => {
@@ -47,12 +54,13 @@
       }
       return undefined;
     };
-    const leased = (pool: Pool, connection: Connection, reused: boolean): Lease => {
+    const leased = (id: string, pool: Pool, connection: Connection, reused: boolean): Lease => {
       let over = false;
       const end = (): boolean => {
         if (over) return false;
         over = true;
         pool.used -= 1;
+        if (!pool.kept && pool.used === 0) pools.delete(id);
         return true;
       };
       return {
@@ -61,7 +69,8 @@
         done: (keepAlive) => {
           if (!end()) return;
           const idleFor = keepAlive === null ? untold : Math.max(0, us.s(keepAlive) - margin);
-          if (connection.open() && idleFor > 0) pool.idle.push({ connection, idleSince: o.clock.now(), idleFor });
+          if (pool.kept && connection.open() && idleFor > 0)
+            pool.idle.push({ connection, idleSince: o.clock.now(), idleFor });
           else connection.close();
         },
         spoilt: () => {
@@ -73,26 +82,22 @@
       take: (w, most) => {
         const pool = poolOf(w.id);
         if (pool.used >= most) return undefined;
+        pool.kept = true;
         const kept = rested(pool);
         pool.used += 1;
         if (kept) {
           c.reused += 1;
-          return leased(pool, kept, true);
+          return leased(w.id, pool, kept, true);
         }
         c.opened += 1;
-        return leased(pool, o.net.connect(w.at, { connectWithin }), false);
+        return leased(w.id, pool, o.net.connect(w.at, { connectWithin }), false);
       },
       retain: (ids) => {
-        for (const [id, p] of pools) {
-          if (ids.has(id)) continue;
-          for (const k of p.idle) k.connection.close();
-          pools.delete(id);
-        }
+        for (const [id, pool] of [...pools]) if (!ids.has(id)) giveUp(id, pool);
       },
       counts: () => ({ ...c, held: [...pools.values()].reduce((a, p) => a + p.used + p.idle.length, 0) }),
       close: () => {
-        for (const p of pools.values()) for (const k of p.idle) k.connection.close();
-        pools.clear();
+        for (const [id, pool] of [...pools]) giveUp(id, pool);
       },
     };
   },
--- a/packages/runtime/src/http-server.ts
+++ b/packages/runtime/src/http-server.ts
@@ -3,28 +3,81 @@
 import type net from 'node:net';
 import polka from 'polka';
 import { flatHeaders } from './headers.js';
-import { fault, place, type HttpAsk, type HttpHandler, type HttpLimits, type HttpSay, type Net } from './index.js';
+import {
+  fault,
+  place,
+  type HttpAsk,
+  type HttpHandler,
+  type HttpLimits,
+  type HttpSay,
+  type Net,
+  type Stop,
+} from './index.js';
 
-const say = (res: http.ServerResponse): HttpSay => ({
-  head: (status, headers) =>
-    void (Array.isArray(headers)
-      ? res.writeHead(status, headers as string[])
-      : res.writeHead(status, headers as Record<string, string>)),
-  write: (piece) => res.destroyed || res.write(piece),
-  drained: () =>
-    new Promise((fin) => {
-      if (res.destroyed || !res.writableNeedDrain) {
-        fin();
-        return;
-      }
-      res.once('drain', fin);
-      res.once('close', fin);
-    }),
-  end: (piece) => void res.end(piece),
-  cut: () => void res.destroy(),
-  gone: () => res.destroyed,
-  onGone: (fn) => void res.once('close', fn),
-});
+const closeListeners = new WeakMap<net.Socket, Set<() => void>>();
+/** One listener for each socket, however many requests its client has sent ahead. */
+const onSocketClose = (socket: net.Socket, fn: () => void): Stop => {
+  const known = closeListeners.get(socket);
+  const listeners = known ?? new Set();
+  listeners.add(fn);
+  if (!known) {
+    closeListeners.set(socket, listeners);
+    socket.once('close', () => {
+      for (const listener of [...listeners]) listener();
+    });
+  }
+  return () => void listeners.delete(fn);
+};
+/**
+ * When the client has gone or the answer is over. An answer that waits behind another one of its connection has no
+ * socket yet, and isn't told of its end by Node: the request's socket is.
+ */
+const departure = (req: http.IncomingMessage, res: http.ServerResponse): Pick<HttpSay, 'gone' | 'onGone'> => {
+  const { socket } = req;
+  const gone = (): boolean => res.destroyed || socket.destroyed;
+  const onGone = (fn: () => void): void => {
+    if (gone()) return fn();
+    let told = false;
+    const once = (): void => {
+      if (told) return;
+      told = true;
+      forget();
+      fn();
+    };
+    const forget = onSocketClose(socket, once);
+    res.once('close', once);
+  };
+  return { gone, onGone };
+};
+const hasLength = (headers: Record<string, string> | readonly string[]): boolean => {
+  const names = Array.isArray(headers) ? headers.filter((_, i) => i % 2 === 0) : Object.keys(headers);
+  return names.some((name: string) => name.toLowerCase() === 'content-length');
+};
+const say = (req: http.IncomingMessage, res: http.ServerResponse): HttpSay => {
+  const { gone, onGone } = departure(req, res);
+  let framed = false;
+  return {
+    head: (status, headers) => {
+      framed = hasLength(headers);
+      res.writeHead(status, headers as Record<string, string>);
+    },
+    write: (piece) => gone() || res.write(piece),
+    drained: () =>
+      new Promise((fin) => {
+        if (gone() || !res.writableNeedDrain) return fin();
+        res.once('drain', fin);
+        onGone(fin);
+      }),
+    end: (piece) => void res.end(piece),
+    cut: () => {
+      // Where nothing but the end of the connection ends an answer, only a reset shows that it was cut.
+      if (res.headersSent && !framed && !res.chunkedEncoding) res.socket?.resetAndDestroy();
+      res.destroy();
+    },
+    gone,
+    onGone,
+  };
+};
 
 /** A handler as Node's own servers call it; for a path that is not `ours` the next one is called, if there is one. */
 export type Listener = (req: http.IncomingMessage, res: http.ServerResponse, next?: () => void) => void;
@@ -56,7 +109,7 @@
 export const listener =
   (handler: HttpHandler, maxBody: number | (() => number), ours: (path: string) => boolean = () => true): Listener =>
   (req, res, next) => {
-    const out = say(res);
+    const out = say(req, res);
     const u = addressOf(req);
     if (!u) {
       out.head(400, { 'content-type': 'application/json' });
