Late messages: a duty's leave names its grant, an order to drain names its process

Read through every handler that changes state for what a message does that arrives late. Two were open: watch.leave carried no mark, so that one about an earlier grant of the same node ended the grant that holds now (leases/test/late.test: failed, now passes); node.drain named nobody, so that a process that took over an address drained for its predecessor.

--- a/packages/admin-api/src/index.ts
+++ b/packages/admin-api/src/index.ts
@@ -218,7 +218,7 @@
           error: 'bad_role',
           message: 'towers are replaced, not drained: stop one and start another',
         });
-      if (ask.method !== 'GET') await n.pipe.ask(node.place, 'node.drain', {}, us.s(2));
+      if (ask.method !== 'GET') await n.pipe.ask(node.place, 'node.drain', { to: node.id }, us.s(2));
       return json(say, 200, { node: node.name, id: node.id, state: 'leaving', safe: false });
     };
     const agreed = async (say: HttpSay, what: string, ask: HttpAsk): Promise<void> => {
--- a/packages/leases/src/index.ts
+++ b/packages/leases/src/index.ts
@@ -30,12 +30,13 @@
         return { ok: true, mark, by, left: term };
       },
     );
-    pipe.on<{ duty: string; by: string }>(
+    // One that comes late is about an earlier grant. A holder of the release before says no mark.
+    pipe.on<{ duty: string; by: string; mark?: number }>(
       'watch.leave',
-      shape.has({ duty: shape.text, by: shape.text }),
-      ({ duty, by }) => {
-        const g = grants.get(duty);
-        if (g?.by === by) g.until = lens.clock.now();
+      shape.has({ duty: shape.text, by: shape.text, mark: shape.maybe(shape.whole) }),
+      ({ duty, by, mark: left }) => {
+        const grant = grants.get(duty);
+        if (grant?.by === by && (left ?? grant.mark) >= grant.mark) grant.until = lens.clock.now();
       },
     );
     return { grants: () => Object.fromEntries(grants) };
@@ -86,7 +87,8 @@
         return;
       }
       if (yes > 0 && !held)
-        for (const [i, r] of got.entries()) if (r?.ok) pipe.tell(voters[i]!, 'watch.leave', { duty: o.name, by: o.by });
+        for (const [i, r] of got.entries())
+          if (r?.ok) pipe.tell(voters[i]!, 'watch.leave', { duty: o.name, by: o.by, mark: ask });
       const other = got.find((r) => r && r.by !== null && r.by !== o.by);
       if (other) vacantSince = clock.now() + other.left;
       // Looked at again well before the grant can run out: its holder may leave earlier.
@@ -99,7 +101,8 @@
       vacancies: () => gaps,
       close: () => {
         stop();
-        if (until > clock.now()) for (const p of o.voters()) pipe.tell(p, 'watch.leave', { duty: o.name, by: o.by });
+        if (until > clock.now())
+          for (const p of o.voters()) pipe.tell(p, 'watch.leave', { duty: o.name, by: o.by, mark });
       },
     };
   },
--- a/packages/thornsail/src/roles.ts
+++ b/packages/thornsail/src/roles.ts
@@ -7,10 +7,11 @@
 import type { WorkerEntry } from '@thornsail/load-balancer';
 import { logbook } from '@thornsail/durable-files';
 import { mooring, type Mooring } from '@thornsail/membership';
-import { pipe, shape, type Pipe } from '@thornsail/rpc';
+import { pipe, type Pipe } from '@thornsail/rpc';
 import { control, root, signal, type Control, type NewsResult, type SignalNode } from '@thornsail/admin-api';
 import { core, order, type Ordered, type Marked } from '@thornsail/consensus';
 import { watch } from '@thornsail/leases';
+import { obeyDrain } from './drain.js';
 
 export type Node = {
   id: string;
@@ -88,10 +89,7 @@
         : ops(ask, say),
     x.maxBody ?? operatorBody,
   );
-  x.pipe.on('node.drain', shape.any, () => {
-    void drain();
-    return { ok: true };
-  });
+  obeyDrain(x.pipe, x.mooring.id, drain);
   return {
     id: x.mooring.id,
     role: x.role,
