--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -260,4 +260,5 @@
 };
 export { seeded } from './seeded.js';
 export { files, type FileCalls, type FileOptions } from './data-folder.js';
-export { real, type Listener } from './real.js';
+export { real } from './real.js';
+export type { Listener } from './http-server.js';
