Each unsynced name is lost by itself; batch files are reserved before they are used

Cause: syncFolder: false on the platform relied on a promise that was withdrawn: a name lasts with its own file's sync. A batch lost while a later one was kept read as "missing before the last", and the store emptied its disk. The marker of a damaged folder and the documents removed last had the same gap whatever the option: their removals were drawn together in the simulator and weren't synced in order.

The simulated disk now stands under the real data folder, as file calls: each name made, renamed or removed since the last sync of the folder is kept or lost by itself, and each write is there, missing or torn. Its states after a loss of power can be listed.

Mended: batch files are made empty 32 at a time with one sync of the folder, before they are needed; a batch needs the sync of its own file alone. The marker's removal waits for a sync; removing documents syncs the folder; what a killed process left is synced before use. The option syncFolder is gone.

Ruled out: a sync of the folder with each batch, at the same time as the file's.

--- a/packages/durable-files/src/batches.ts
+++ b/packages/durable-files/src/batches.ts
@@ -1,9 +1,10 @@
-// Records by key (§6.1): all changes that wait while a sync is under way go together into one new file, a batch, with
-// one sync. Batches are numbered without a gap; base files hold what is left of older ones.
+// Records by key (§6.1): all changes that wait while a sync is under way go together into one file, a batch, with one
+// sync. Batches are numbered without a gap, in files made before (reserve.ts); base files hold what is left of older ones.
 import { fault } from '@thornsail/runtime';
 import { format, type BaseHead, type Extent, type Kind, type Line } from './format.js';
 import type { Logbook } from './index.js';
 import { merge, type Limits } from './merge.js';
+import { reserve } from './reserve.js';
 
 /** The newest version of a record: its file, its bytes there, the number of the batch it came in, and how many files
  * in effect hold older ones. */
@@ -50,6 +51,7 @@
     const { book, index } = o;
     const { disk } = book;
     const limits = merge.checked(o.limits);
+    const reserved = reserve.open(disk, limits.reservedFiles);
     const c = { batches: 0, records: 0, merges: 0 };
     const gone = new Map<string, Gone>();
     const before = new Map<string, T>();
@@ -112,7 +114,8 @@
       const name = format.file('b', next);
       let batch: Map<string, Waiting<T>> | undefined;
       try {
-        await disk.create(name, () => format.seal([...(batch = take()).values()].map((w) => w.text)));
+        await reserved.upTo(next);
+        await disk.fill(name, () => format.seal([...(batch = take()).values()].map((w) => w.text)));
       } catch (e) {
         for (const w of (batch ?? take()).values()) for (const fail of w.fail) fail(e as Error);
         return;
@@ -123,6 +126,7 @@
         place(line, at, w.text.length);
       }
       next += 1;
+      reserved.ahead(next);
       c.batches += 1;
       c.records += batch!.size;
       for (const w of batch!.values()) for (const done of w.done) done();
@@ -236,7 +240,7 @@
     };
     const dropFormer = async (): Promise<void> => {
       const old = book.names().filter((name) => name.startsWith(o.prefix));
-      await atOnce(old, (name) => book.remove(name), 64).catch(() => undefined);
+      if (old.length > 0) await book.remove(old).catch(() => undefined);
     };
 
     const readLines = async (kind: Kind, n: number): Promise<string[] | undefined> =>
@@ -256,20 +260,41 @@
       });
       return sound ? head : undefined;
     };
-    /** Batches after a base, without a gap; the last may be torn: it was not acknowledged. */
+    /**
+     * Batches after a base, without a gap up to the last file that isn't empty: those after it were only reserved. That
+     * one may be torn: it was not acknowledged then.
+     */
     const loadBatches = async (all: string[], upTo: number): Promise<boolean> => {
       const list = format.numbers(all, 'b').filter((n) => n > upTo);
-      let sound = list.every((n, i) => n === upTo + 1 + i);
-      next = upTo + list.length + 1;
+      const found = new Map<number, { empty: boolean }>();
       await atOnce(list, async (n) => {
-        const lines = await readLines('b', n);
-        if (lines) {
-          const at = extent('b', n);
-          for (const line of lines) place(format.readBatchLine<T>(line, n), at, line.length);
-        } else if (n === upTo + list.length) next = n;
-        else sound = false;
+        const raw = await disk.get(format.file('b', n));
+        const lines = format.unseal(raw);
+        found.set(n, { empty: raw === '' });
+        if (!lines) return;
+        const at = extent('b', n);
+        for (const line of lines) place(format.readBatchLine<T>(line, n), at, line.length);
       });
-      return sound;
+      const last = Math.max(upTo, ...list.filter((n) => !found.get(n)!.empty));
+      const sound = new Set(files.b.map((f) => f.n));
+      for (let n = upTo + 1; n < last; n++) if (!sound.has(n)) return false;
+      // Names are reserved from the next batch on: others further up show that what came before them is gone.
+      if (list.length > 0 && last === upTo && list[0]! > upTo + limits.reservedFiles) return false;
+      next = last > upTo && !sound.has(last) ? last : last + 1;
+      let lasting = last;
+      while (found.has(lasting + 1)) lasting += 1;
+      reserved.found(lasting);
+      // A killed process may have left the last one without its sync: seen from now on, it must last.
+      if (sound.has(last)) await disk.settle([format.file('b', last)]);
+      return true;
+    };
+    /** Files that are in effect no more; one that stays does no harm. */
+    const dropOld = async (all: string[], upTo: number): Promise<void> => {
+      const bases = new Set(files.base.map((f) => f.n));
+      const oldBatches = format.numbers(all, 'b').filter((n) => n <= upTo);
+      const oldBases = format.numbers(all, 'base').filter((n) => !bases.has(n));
+      await atOnce(oldBatches, (n) => dropFile('b', n));
+      await atOnce(oldBases, (n) => dropFile('base', n));
     };
     const load = async (): Promise<boolean> => {
       const all = await disk.list();
@@ -278,14 +303,8 @@
         book.sawDamage();
         return false;
       }
-      for (const kind of ['b', 'base'] as const) {
-        files[kind].sort((x, y) => x.n - y.n);
-        const inEffect = new Set(files[kind].map((f) => f.n));
-        await atOnce(
-          format.numbers(all, kind).filter((n) => !inEffect.has(n)),
-          (n) => dropFile(kind, n),
-        );
-      }
+      for (const kind of ['b', 'base'] as const) files[kind].sort((x, y) => x.n - y.n);
+      await dropOld(all, head.upTo);
       if (head.parts.length === 0 && before.size > 0) await moveFormer();
       before.clear();
       void dropFormer();
@@ -306,6 +325,7 @@
         waiting = new Map();
         next = 1;
         nextBase = 1;
+        reserved.found(0);
       },
       counts: () => {
         const all = [...files.b, ...files.base];
--- a/packages/durable-files/src/index.ts
+++ b/packages/durable-files/src/index.ts
@@ -10,7 +10,8 @@
   read: <T>(name: string) => Promise<{ mark: number; value: T } | undefined>;
   /** Resolves once synced. Older versions are dropped only afterwards. */
   write: (name: string, mark: number, value: unknown) => Promise<void>;
-  remove: (name: string) => Promise<void>;
+  /** Resolves once the folder is synced: from then on none of these documents comes back. */
+  remove: (names: string[]) => Promise<void>;
   names: () => string[];
   /** Forgets everything: a damaged folder is an empty one, and its machine a new identity (§6.1). */
   wipe: () => Promise<void>;
@@ -36,7 +37,7 @@
 /** Stands there while a damaged folder is emptied: a loss of power must not leave half of it to be taken as sound. */
 const wiping = 'wiping';
 
-const readAtOnce = 64;
+const filesAtOnce = 64;
 
 export const logbook = {
   /**
@@ -57,7 +58,7 @@
         if (d) see(name, d);
       }
     };
-    if (!half) await Promise.all(Array.from({ length: readAtOnce }, work));
+    if (!half) await Promise.all(Array.from({ length: filesAtOnce }, work));
     if (!half && book.counts().torn === 0 && (await more())) return true;
     log('the data folder is damaged: it is emptied, and this is a new identity.');
     await book.wipe();
@@ -71,8 +72,8 @@
     const have = new Map<string, number[]>();
     const c = { syncs: 0, torn: 0 };
     const all = await folder.list();
-    // What a killed process left may be seen by now, and yet be lost with the power: it is synced before it is used.
-    await folder.settle(all.filter((f) => f.startsWith('b.')).slice(-1));
+    // Names that a killed process left may be seen by now, and yet be lost with the power: they are synced before use.
+    await folder.settle([]);
     for (const f of all) {
       const [, name, mark] = numbered.exec(f) ?? [];
       if (name === undefined || reserved.test(name)) continue;
@@ -99,7 +100,8 @@
     const disk: Disk = {
       ...folder,
       put: (name, text) => guarded(() => folder.put(name, text)),
-      create: (name, text) => guarded(() => folder.create(name, text)),
+      reserve: (names) => guarded(() => folder.reserve(names)),
+      fill: (name, text) => guarded(() => folder.fill(name, text)),
     };
     const write: Logbook['write'] = (name, mark, value) =>
       keyed(name, async () => {
@@ -120,6 +122,11 @@
             );
           }
       });
+    const removeOne = (name: string): Promise<void> =>
+      keyed(name, async () => {
+        for (const m of have.get(name) ?? []) await disk.drop(file(name, m));
+        have.delete(name);
+      });
     return {
       read: async <T>(name: string) => {
         for (const mark of [...(have.get(name) ?? [])].reverse()) {
@@ -131,16 +138,21 @@
         return undefined;
       },
       write,
-      remove: (name) =>
-        keyed(name, async () => {
-          for (const m of have.get(name) ?? []) await disk.drop(file(name, m));
-          have.delete(name);
-        }),
+      remove: async (names) => {
+        const left = names.values();
+        const work = async (): Promise<void> => {
+          for (const name of left) await removeOne(name);
+        };
+        await Promise.all(Array.from({ length: filesAtOnce }, work));
+        await disk.settle([]);
+      },
       names: () => [...have.keys()],
       wipe: async () => {
         await write(wiping, 1, {});
         for (const f of await disk.list()) if (numbered.test(f) && f !== file(wiping, 1)) await disk.drop(f);
         have.clear();
+        // The mark goes last: its name must not be lost while others come back.
+        await disk.settle([]);
         await disk.drop(file(wiping, 1));
         await disk.settle([]);
       },
--- a/packages/durable-files/src/merge.ts
+++ b/packages/durable-files/src/merge.ts
@@ -9,12 +9,15 @@
   pieceBytes: number;
   /** Bytes on disk beyond twice the live ones. */
   slackBytes: number;
+  /** Names of batch files that are made with one sync of the folder. */
+  reservedFiles: number;
 };
 export const usualLimits: Limits = {
   batchFiles: 256,
   batchBytes: 1 << 20,
   pieceBytes: 512 << 10,
   slackBytes: 16 << 20,
+  reservedFiles: 32,
 };
 export type Files = { batches: Extent[]; bases: Extent[] };
 /** So many small base files are merged into one. */
--- a/packages/durable-files/test/batches.test.ts
+++ b/packages/durable-files/test/batches.test.ts
@@ -18,10 +18,9 @@
 
 type Value = { n: number; pad: string };
 type Open = { book: Logbook; records: Batches<Value>; at: Map<string, Slot<Value>>; sound: boolean; stopped: Error[] };
-const stage = (seed: number, o: { diskTime?: number; syncFolder?: boolean } = {}): { w: World; h: Host } => {
+const stage = (seed: number, o: { diskTime?: number } = {}): { w: World; h: Host } => {
   const w = world.open({ seed, zoneDelay: 1, clientDelay: 1, clientIp: 'x', diskTime: o.diskTime ?? us.ms(2) });
   const h = w.host('127.0.0.1', 'z1');
-  h.disk.syncFolder = o.syncFolder ?? true;
   return { w, h };
 };
 const open = async (w: World, h: Host, limits: Partial<Limits> = {}): Promise<Open> => {
@@ -66,7 +65,7 @@
 const value = (n: number): Value => ({ n, pad: 'x'.repeat(n % 50) });
 
 test('changes that come together go into one file with one sync, and no reply comes before that sync', async () => {
-  const { w, h } = stage(1, { syncFolder: false });
+  const { w, h } = stage(1);
   const o = await until(w, open(w, h));
   const before = w.syncs();
   const acked: { k: string; syncs: number }[] = [];
@@ -91,10 +90,9 @@
 /** The life of a folder: writers at work, ended by `how` at some moment, started again, time after time. */
 const lives = async (
   seed: number,
-  syncFolder: boolean,
   limits: Partial<Limits> = {},
 ): Promise<{ acks: number; merges: number; lost: string[] }> => {
-  const { w, h } = stage(seed, { syncFolder });
+  const { w, h } = stage(seed);
   const r = w.rand;
   /** For each key the versions tried since the last one that was acknowledged, and that one; 0 is "removed". */
   const may = new Map<string, number[]>();
@@ -134,32 +132,35 @@
   }
   return { acks, merges, lost };
 };
-for (const syncFolder of [true, false])
-  test(`what was acknowledged, or seen at a start, survives every end; syncFolder ${syncFolder}`, async () => {
-    let acks = 0;
-    for (let seed = 1; seed <= 60; seed++) {
-      const l = await lives(seed, syncFolder);
-      assert.equal(l.lost, [], `seed ${seed}`);
-      acks += l.acks;
-    }
-    assert.ok(acks > 60 * 100, `only ${acks} acknowledged`);
-  });
+test('what was acknowledged, or seen at a start, survives every end', async () => {
+  let acks = 0;
+  for (let seed = 1; seed <= 120; seed++) {
+    const l = await lives(seed);
+    assert.equal(l.lost, [], `seed ${seed}`);
+    acks += l.acks;
+  }
+  assert.ok(acks > 120 * 100, `only ${acks} acknowledged`);
+});
 
 /** So little that every few batches are merged, and base files again. */
 const tight: Partial<Limits> = { batchFiles: 4, batchBytes: 300, pieceBytes: 700, slackBytes: 500 };
-for (const syncFolder of [true, false])
-  test(`the same while files are merged all the time; syncFolder ${syncFolder}`, async () => {
-    const all = { acks: 0, merges: 0 };
-    for (let seed = 1; seed <= 80; seed++) {
-      const l = await lives(seed, syncFolder, tight);
-      assert.equal(l.lost, [], `seed ${seed}`);
-      all.acks += l.acks;
-      all.merges += l.merges;
-    }
-    assert.ok(all.acks > 80 * 100 && all.merges > 80 * 20, JSON.stringify(all));
-  });
+test('the same while files are merged all the time', async () => {
+  const all = { acks: 0, merges: 0 };
+  for (let seed = 1; seed <= 160; seed++) {
+    const l = await lives(seed, tight);
+    assert.equal(l.lost, [], `seed ${seed}`);
+    all.acks += l.acks;
+    all.merges += l.merges;
+  }
+  assert.ok(all.acks > 160 * 100 && all.merges > 160 * 20, JSON.stringify(all));
+});
 
-const batchFiles = (h: Host): string[] => [...h.files.keys()].filter((f) => /^b\.\d{12}$/.test(f)).sort();
+/** The batches that were written: files that were only reserved are empty. */
+const batchFiles = (h: Host): string[] =>
+  [...h.files]
+    .filter(([name, text]) => /^b\.\d{12}$/.test(name) && text !== '')
+    .map(([name]) => name)
+    .sort();
 const filled = async (seed: number, count: number): Promise<{ w: World; h: Host }> => {
   const { w, h } = stage(seed);
   const o = await until(w, open(w, h));
@@ -211,14 +212,15 @@
     w.kill(h, 'power');
     w.start(h);
     h.files.set(batchFiles(h)[4]!, 'damaged');
+    const before = h.files.size;
     void open(w, h);
-    await w.run(w.now() + us.ms(2) + w.rand.int(us.ms(4)));
+    await w.run(w.now() + us.ms(2) + w.rand.int(us.ms(10)));
     w.kill(h, 'power');
     w.start(h);
     const left = h.files.size;
     const again = await until(w, open(w, h));
     const identity = (await until(w, again.book.read<{ id: string }>('identity')))?.value.id;
-    if (left > 0 && left < 13) halves += 1;
+    if (left > 0 && left < before) halves += 1;
     assert.ok(identity === undefined && again.at.size === 0, `seed ${seed}: ${left} files were left`);
   }
   assert.ok(halves > 10, `only ${halves} ends came in the middle`);
@@ -329,7 +331,9 @@
     // A removal is a short record as long as an older one of its key is in a file.
     assert.ok(bytes <= 2 * live + 20_000 + 300 * 40 + 8000, `${bytes} bytes on disk, ${live} live`);
     assert.ok(c.files <= 16 + 8 + (2 * live) / 2000, `${c.files} files`);
-    assert.is([...h.files.keys()].filter((f) => /^b(ase)?\./.test(f)).length, c.files, 'files that are not in effect');
+    const written = [...h.files].filter(([name, text]) => /^b(ase)?\./.test(name) && text !== '').length;
+    assert.is(written, c.files, 'files that are not in effect');
+    assert.ok(h.files.size - written <= 2 * usualLimits.reservedFiles, `${h.files.size - written} reserved files`);
   };
   for (let i = 0; i < 4; i++) await round((k) => o.records.write(k, { n: i, pad }));
   for (let i = 0; i < 3; i++) await round((k) => (r.int(2) ? o.records.remove(k) : o.records.write(k, { n: i, pad })));
@@ -400,7 +404,7 @@
     bytes,
     live,
   });
-  const l: Limits = { batchFiles: 8, batchBytes: 100, pieceBytes: 100, slackBytes: 50 };
+  const l: Limits = { batchFiles: 8, batchBytes: 100, pieceBytes: 100, slackBytes: 50, reservedFiles: 2 };
   const some = (n: number, live: number): Extent[] => Array.from({ length: n }, (_, i) => f('b', i + 1, 20, live));
   const ns = (x: Extent[] | undefined): string | undefined => x?.map((y) => `${y.kind}${y.n}`).join();
   assert.is(merge.next({ batches: some(8, 20), bases: [] }, l), undefined);
--- a/packages/runtime/src/data-folder.ts
+++ b/packages/runtime/src/data-folder.ts
@@ -18,14 +18,11 @@
   }
 };
 
-export type FileOptions = {
-  /** Off only where the platform says that a new file lasts once it has its own sync (§6.1). */
-  syncFolder?: boolean;
-};
-/** Documents are written aside, synced, renamed, folder synced; new files are written and synced in place (§6.1). */
-export const files = (folder: string, calls: FileCalls = fs, o: FileOptions = {}): Disk => {
-  const newNames = o.syncFolder ?? true;
-  if (typeof newNames !== 'boolean') throw fault.make({ step: 'disk.options' }, 'syncFolder is true or false');
+/**
+ * Documents are written aside, synced, renamed, folder synced; reserved files are made empty, folder synced, and later
+ * written and synced in place (§6.1).
+ */
+export const files = (folder: string, calls: FileCalls = fs): Disk => {
   const syncAt = async (at: string): Promise<void> => {
     const f = await calls.open(at, 'r');
     try {
@@ -38,32 +35,51 @@
   let made: Promise<unknown> | undefined;
   const ready = (): Promise<unknown> => (made ??= calls.mkdir(folder, { recursive: true }));
   let n = 0;
-  /** On a failure the file goes; one that stays all the same was never acknowledged, and shows as torn. */
-  const writeFile = async (at: string, text: () => string, names = false): Promise<void> => {
+  /** Documents that are being written: what else lies aside was left by a former process. */
+  const underWay = new Set<string>();
+  const writeFile = async (at: string, text: () => string): Promise<void> => {
+    const f = await step('write', calls.open(at, 'w'));
     try {
-      const f = await step('write', calls.open(at, 'w'));
-      try {
-        await step('write', f.writeFile(text(), 'utf8'));
-        await step('sync', Promise.all([f.datasync(), ...(names ? [syncFolder()] : [])]));
-      } finally {
-        await f.close();
-      }
-    } catch (e) {
-      await calls.rm(at, { force: true }).catch(() => undefined);
-      throw e;
+      await step('write', f.writeFile(text(), 'utf8'));
+      await step('sync', f.datasync());
+    } finally {
+      await f.close();
     }
   };
+  const makeEmpty = async (at: string): Promise<void> => {
+    const f = await calls.open(at, 'w');
+    await f.close();
+  };
   return {
     put: async (name, text) => {
       await step('write', ready());
-      const aside = path.join(folder, `.aside-${process.pid}-${n++}`);
-      await writeFile(aside, () => text);
-      await step('rename', calls.rename(aside, path.join(folder, name)));
+      const aside = `.aside-${n++}`;
+      underWay.add(aside);
+      try {
+        await writeFile(path.join(folder, aside), () => text).catch(async (e) => {
+          await calls.rm(path.join(folder, aside), { force: true }).catch(() => undefined);
+          throw e;
+        });
+        await step('rename', calls.rename(path.join(folder, aside), path.join(folder, name)));
+      } finally {
+        underWay.delete(aside);
+      }
       await step('sync', syncFolder());
     },
-    create: async (name, text) => {
+    reserve: async (names) => {
       await step('write', ready());
-      await writeFile(path.join(folder, name), text, newNames);
+      for (const name of names) await step('write', makeEmpty(path.join(folder, name)));
+      await step('sync', syncFolder());
+    },
+    fill: async (name, text) => {
+      const at = path.join(folder, name);
+      try {
+        await writeFile(at, text);
+      } catch (e) {
+        // Its bytes go and its name stays; bytes that stay all the same were never acknowledged, and show as torn.
+        await makeEmpty(at).catch(() => undefined);
+        throw e;
+      }
     },
     settle: async (names) => {
       await step('sync', ready());
@@ -77,8 +93,7 @@
     list: async () => {
       await step('read', ready());
       const all = await step('read', calls.readdir(folder));
-      const mine = `.aside-${process.pid}-`;
-      const old = all.filter((f) => f.startsWith('.aside-') && !f.startsWith(mine));
+      const old = all.filter((f) => f.startsWith('.aside-') && !underWay.has(f));
       await Promise.all(old.map((f) => calls.rm(path.join(folder, f), { force: true })));
       return all.filter((f) => !f.startsWith('.aside-')).sort();
     },
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -36,11 +36,13 @@
  */
 export type Disk = {
   put: (name: string, text: string) => Promise<void>;
+  /** Makes empty files; resolves once the folder is synced, so that their names outlast a loss of power. */
+  reserve: (names: string[]) => Promise<void>;
   /**
-   * A new file, written and synced under its final name: a loss of power before that may leave it torn. `text` is
-   * asked for when the file is open, and not again. Fails as `put` does.
+   * Writes a reserved file and syncs it: a loss of power before that may leave it torn. `text` is asked for when the
+   * file is open, and not again. Fails as `put` does.
    */
-  create: (name: string, text: () => string) => Promise<void>;
+  fill: (name: string, text: () => string) => Promise<void>;
   /** Syncs what a former process may have left without a sync: these files, and the names of all. */
   settle: (names: string[]) => Promise<void>;
   get: (name: string) => Promise<string | undefined>;
@@ -259,5 +261,5 @@
   },
 };
 export { seeded } from './seeded.js';
-export { files, type FileCalls, type FileOptions } from './data-folder.js';
+export { files, type FileCalls } from './data-folder.js';
 export { real, type Listener } from './real.js';
--- a/packages/runtime/src/real.ts
+++ b/packages/runtime/src/real.ts
@@ -6,7 +6,7 @@
 import polka from 'polka';
 import { Agent, Client, request, type Dispatcher } from 'undici';
 import { connect } from './connection.js';
-import { files, type FileOptions } from './data-folder.js';
+import { files } from './data-folder.js';
 import {
   fault,
   place,
@@ -359,10 +359,10 @@
 
 export const real = {
   listener,
-  lens: (folder: string, o: FileOptions = {}): Lens => ({
+  lens: (folder: string): Lens => ({
     clock,
     rand,
-    disk: files(folder, undefined, o),
+    disk: files(folder),
     net: { frames, serve, call, connect },
     log: logs,
   }),
--- a/packages/runtime/test/disk.test.ts
+++ b/packages/runtime/test/disk.test.ts
@@ -5,8 +5,8 @@
 import path from 'node:path';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { fault, files, real, type FileCalls, type FileOptions } from '@thornsail/runtime';
-import { batches, logbook, type Batches, type Slot } from '@thornsail/durable-files';
+import { fault, files, type FileCalls } from '@thornsail/runtime';
+import { batches, logbook, usualLimits, type Batches, type Slot } from '@thornsail/durable-files';
 
 type Step = 'open' | 'write' | 'sync' | 'rename' | 'folder' | 'read' | 'none';
 /** File calls of which one fails, with a code of the system's. */
@@ -105,7 +105,6 @@
 const recordsOf = async (
   dir: string,
   calls?: FileCalls,
-  o: FileOptions = {},
 ): Promise<{ records: Batches<number>; at: Map<string, Slot<number>>; stopped: () => number; sound: boolean }> => {
   const at = new Map<string, Slot<number>>();
   const index = {
@@ -115,48 +114,60 @@
     clear: () => at.clear(),
   };
   let stopped = 0;
-  const book = await logbook.open(files(dir, calls, o), () => (stopped += 1));
+  const book = await logbook.open(files(dir, calls), () => (stopped += 1));
   const records = batches.open<number>({ book, index, prefix: 'reg:' });
   const sound = await logbook.sound(book, () => undefined, undefined, records.load);
   return { records, at, stopped: () => stopped, sound };
 };
-test('a batch takes one sync, and one of the folder unless the platform keeps new names without it', async () => {
-  for (const syncFolder of [true, false]) {
-    const seen: Step[] = [];
-    const dir = folder();
-    const b = await recordsOf(dir, failing({ step: 'none', code: '' }, seen), { syncFolder });
+test('a batch takes one sync of its file; the folder is synced before its name is used, for many names at once', async () => {
+  const seen: Step[] = [];
+  const dir = folder();
+  const b = await recordsOf(dir, failing({ step: 'none', code: '' }, seen));
+  const counted = async (count: number, of: string): Promise<Record<string, number>> => {
     seen.length = 0;
-    await Promise.all(Array.from({ length: 30 }, (_, i) => b.records.write(`k${i}`, i)));
-    assert.equal(seen.sort(), (syncFolder ? ['folder', 'open', 'sync', 'write'] : ['open', 'sync', 'write']).sort());
-    assert.equal(readdirSync(dir), ['b.000000000001'], 'written in place');
-    const again = await recordsOf(dir);
-    assert.ok(again.sound && again.at.size === 30 && again.at.get('k7')?.value === 7);
-  }
-  assert.throws(() => real.lens(folder(), { syncFolder: 'no' as unknown as boolean }), /syncFolder/);
+    await Promise.all(Array.from({ length: count }, (_, i) => b.records.write(`${of}${i}`, i)));
+    return Object.fromEntries([...new Set(seen)].sort().map((step) => [step, seen.filter((s) => s === step).length]));
+  };
+  const names = Array.from({ length: usualLimits.reservedFiles }, (_, i) => `b.${String(i + 1).padStart(12, '0')}`);
+  assert.equal(await counted(30, 'k'), { folder: 1, open: usualLimits.reservedFiles + 1, sync: 1, write: 1 });
+  assert.is(seen.indexOf('folder') < seen.indexOf('write'), true, 'written under a name that did not last');
+  assert.equal(readdirSync(dir), names, 'written in place');
+  assert.equal(await counted(30, 'm'), { open: 1, sync: 1, write: 1 });
+  // The rest of the names, and more of them before these are used up.
+  let folderSyncs = 0;
+  for (let i = 2; i < usualLimits.reservedFiles; i++) folderSyncs += (await counted(1, `n${i}/`))['folder'] ?? 0;
+  assert.is(folderSyncs, 1);
+  const again = await recordsOf(dir);
+  assert.ok(again.sound && again.at.size === 60 + usualLimits.reservedFiles - 2 && again.at.get('k7')?.value === 7);
 });
 test('a full disk refuses a batch whole; one that fails in any step is not acknowledged nor tried again', async () => {
-  for (const [step, code, gives] of [
-    ['open', 'ENOSPC', 'full'],
-    ['write', 'EDQUOT', 'full'],
-    ['write', 'EIO', 'failed'],
-    ['sync', 'EIO', 'failed'],
-    ['sync', 'ENOSPC', 'failed'],
-    ['folder', 'EIO', 'failed'],
+  // Of a batch whose name was reserved before, and of the first one, which reserves names.
+  for (const [step, code, gives, isFirst] of [
+    ['open', 'ENOSPC', 'full', false],
+    ['open', 'ENOSPC', 'full', true],
+    ['open', 'EIO', 'failed', true],
+    ['write', 'EDQUOT', 'full', false],
+    ['write', 'EIO', 'failed', false],
+    ['sync', 'EIO', 'failed', false],
+    ['sync', 'ENOSPC', 'failed', false],
+    ['folder', 'EIO', 'failed', true],
+    ['folder', 'ENOSPC', 'failed', true],
   ] as const) {
     const dir = folder();
     const what = { step: 'none' as Step, code };
     const b = await recordsOf(dir, failing(what));
-    await b.records.write('a', 1);
+    if (!isFirst) await b.records.write('a', 1);
     what.step = step;
     const codes = await Promise.all([codeOf(b.records.write('a', 2)), codeOf(b.records.write('b', 2))]);
     assert.equal(codes, [gives, gives], step);
-    assert.is(b.at.get('a')?.value, 1);
+    assert.is(b.at.get('a')?.value, isFirst ? undefined : 1);
     what.step = 'none';
     assert.is(await codeOf(b.records.write('c', 3)), gives === 'full' ? 'ok' : 'failed');
     assert.is(b.stopped(), gives === 'full' ? 0 : 1);
     const again = await recordsOf(dir);
-    assert.ok(again.sound && again.at.has('c') === (gives === 'full') && again.at.has('a'), step);
-    if (gives === 'full') assert.is(again.at.get('a')?.value, 1);
+    assert.ok(again.sound && again.at.has('c') === (gives === 'full'), step);
+    assert.ok(isFirst || again.at.has('a'), step);
+    if (gives === 'full') assert.is(again.at.get('a')?.value, isFirst ? undefined : 1);
   }
 });
 test.run();
--- a/packages/simulation/src/disk.ts
+++ b/packages/simulation/src/disk.ts
@@ -1,35 +1,26 @@
-// The simulated disk (§9.2): one sync at a time, and what it holds after its process ended or its machine lost power.
-import { fault, type Disk, type Rand, type Us } from '@thornsail/runtime';
+// The simulated disk (§9.2): file calls with unsynced names and bytes, and what is left of them after a loss of power.
+import { files, us, type Disk, type FileCalls, type Rand, type Us } from '@thornsail/runtime';
 
-/** A write on its way: `text` is taken when its turn comes; one that is made in place has no rename (§6.1). */
-type DiskWrite = {
-  name: string;
-  inPlace: boolean;
-  text: () => string;
-  taken?: string;
-  done: () => void;
-  fail: (e: Error) => void;
-};
-/** A small disk: one sync at a time, of one file or of the folder (§9.2). */
+/** A file's text; undefined where there is no file of that name. */
+type Content = string | undefined;
+/** A small disk: one sync at a time, of one file or of the folder. */
 export type DiskState = {
-  /** Waiting for their syncs; `busy` is the one whose sync is under way. */
-  line: Set<DiskWrite>;
-  busy: DiskWrite | null;
   /** Stretches the time of a sync. */
   slow: number;
-  /** No sync ends before this time. */
+  /** No call ends before this time. */
   hangsUntil: Us;
+  /** Takes no more bytes. */
   full: boolean;
-  /** Whether a new file's name lasts only once the folder was synced, too; else its own sync is enough (§6.1). */
-  syncFolder: boolean;
-  /** Files that a killed process left without a sync, each with what a loss of power may bring back. */
-  loose: Map<string, string | undefined>;
-  /** Removed since the last sync of the folder: a loss of power may bring these back. */
-  removed: Map<string, string>;
   /** Chances that a step fails. */
   fail: { write: number; sync: number; rename: number; read: number };
+  /** Names made, renamed or removed since a sync of the folder: what a loss of power may bring back in their place. */
+  unsyncedNames: Map<string, Content[]>;
+  /** Files written since their last sync: what that sync covered. */
+  unsyncedBytes: Map<string, Content>;
+  /** When the syncs that were asked for are over. */
+  busyUntil: Us;
 };
-/** What the disk needs of the process that it belongs to. */
+/** What the disk needs of the process that it belongs to; `inc` counts the starts of this process. */
 export type DiskHost = { inc: number; files: Map<string, string>; disk: DiskState };
 /** What the disk needs of the simulated world; `syncTime` is the longest time of one sync. */
 export type DiskGround<H extends DiskHost> = {
@@ -42,130 +33,201 @@
 export type DiskEnd = 'process' | 'power' | 'disk';
 
 const state = (): DiskState => ({
-  line: new Set(),
-  busy: null,
   slow: 1,
   hangsUntil: 0,
   full: false,
-  syncFolder: false,
-  loose: new Map(),
-  removed: new Map(),
   fail: { write: 0, sync: 0, rename: 0, read: 0 },
+  unsyncedNames: new Map(),
+  unsyncedBytes: new Map(),
+  busyUntil: 0,
 });
 
-/** What a write that was never synced may leave of a file: nothing, a part, zeros at its end, or all of it. */
-const damaged = (rand: Rand, text: string): string | undefined => {
-  const cut = rand.int(text.length + 1);
-  return [undefined, text.slice(0, cut), text.slice(0, cut) + '\0'.repeat(text.length - cut), text][rand.int(4)];
+const root = '/simulated';
+const nameIn = (at: unknown): string => String(at).slice(root.length + 1);
+const failure = (code: string): Error => Object.assign(new Error(`${code}: simulated`), { code });
+const setFile = (host: DiskHost, name: string, text: Content): void => {
+  if (text === undefined) host.files.delete(name);
+  else host.files.set(name, text);
+};
+/** Changes what a name stands for; until the folder is synced a loss of power may undo it. */
+const changeName = (host: DiskHost, name: string, text: Content): void => {
+  const former = host.disk.unsyncedNames.get(name) ?? [];
+  host.disk.unsyncedNames.set(name, [...former, host.files.get(name)]);
+  setFile(host, name, text);
+};
+const changeBytes = (host: DiskHost, name: string, text: string): void => {
+  if (!host.disk.unsyncedBytes.has(name)) host.disk.unsyncedBytes.set(name, host.files.get(name));
+  host.files.set(name, text);
+};
+
+/** What a write without a sync may leave of a file: the bytes before it, none, a part, zeros at its end, or all. */
+const tornAt = (text: string, cut: number): string[] => [
+  '',
+  text.slice(0, cut),
+  text.slice(0, cut) + '\0'.repeat(text.length - cut),
+  text,
+];
+const bytesLeft = (host: DiskHost, name: string, cut: (length: number) => number): Content[] => {
+  const text = host.files.get(name);
+  if (text === undefined || !host.disk.unsyncedBytes.has(name)) return [text];
+  return [host.disk.unsyncedBytes.get(name) ?? '', ...tornAt(text, cut(text.length))];
 };
-const leave = (h: DiskHost, name: string, text: string | undefined): void => {
-  if (text === undefined) h.files.delete(name);
-  else h.files.set(name, text);
+/** For each name that a loss of power may change, what it may stand for afterwards. */
+const possible = (host: DiskHost, cut: (length: number) => number): Map<string, { kept: Content[]; lost: Content[] }> =>
+  new Map(
+    [...new Set([...host.disk.unsyncedNames.keys(), ...host.disk.unsyncedBytes.keys()])].map((name) => [
+      name,
+      { kept: bytesLeft(host, name, cut), lost: host.disk.unsyncedNames.get(name) ?? [] },
+    ]),
+  );
+
+/** Everything that a loss of power at this moment may leave in the folder; torn files are cut in the middle. */
+const afterPowerLoss = function* (host: DiskHost): Generator<Map<string, string>> {
+  const all = [...possible(host, (length) => length >> 1)];
+  const walk = function* (i: number, left: Map<string, string>): Generator<Map<string, string>> {
+    if (i === all.length) {
+      yield new Map(left);
+      return;
+    }
+    const [name, { kept, lost }] = all[i]!;
+    for (const text of new Set([...kept, ...lost])) {
+      if (text === undefined) left.delete(name);
+      else left.set(name, text);
+      yield* walk(i + 1, left);
+    }
+  };
+  yield* walk(0, new Map(host.files));
 };
-/** What a disk holds after its process ended, or the machine lost its power or the disk itself. */
-const end = (rand: Rand, h: DiskHost, how: DiskEnd): void => {
-  const d = h.disk;
-  // What was on its way is lost, or had just arrived; a file made in place may have arrived in part.
-  for (const p of d.busy ? [d.busy, ...d.line] : [...d.line]) {
-    const was = h.files.get(p.name);
-    const back = was ?? d.removed.get(p.name);
-    if (p.inPlace) {
-      if (p.taken !== undefined) leave(h, p.name, damaged(rand, p.taken));
-    } else if (how === 'process' ? rand.int(2) === 0 : rand.int(4) === 0) leave(h, p.name, p.text());
-    if (how === 'process' && h.files.get(p.name) !== was) d.loose.set(p.name, back);
+const loseUnsynced = (rand: Rand, host: DiskHost): void => {
+  // At some losses of power all that was not synced is gone.
+  const nothingKept = rand.int(4) === 0;
+  for (const [name, { kept, lost }] of possible(host, (length) => rand.int(length + 1))) {
+    const isLost = lost.length > 0 && (nothingKept || rand.int(2) === 0);
+    if (isLost) setFile(host, name, lost[nothingKept ? 0 : rand.int(lost.length)]);
+    else if (kept.length > 1) setFile(host, name, kept[nothingKept ? 0 : rand.int(kept.length)]);
   }
-  d.line.clear();
-  d.busy = null;
+};
+/** What the disk holds after its process ended, or the machine lost its power or the disk itself. */
+const end = (rand: Rand, host: DiskHost, how: DiskEnd): void => {
+  host.disk.busyUntil = 0;
   if (how === 'process') return;
-  // Names that were removed, and what no sync had taken in, may be back as they were.
-  for (const [name, text] of d.removed) if (!h.files.has(name) && rand.int(2) === 0) h.files.set(name, text);
-  for (const [name, text] of d.loose) if (rand.int(2) === 0) leave(h, name, text);
-  d.removed.clear();
-  d.loose.clear();
-  if (how === 'disk') h.files.clear();
+  if (how === 'power') loseUnsynced(rand, host);
+  else host.files.clear();
+  host.disk.unsyncedNames.clear();
+  host.disk.unsyncedBytes.clear();
 };
 
-const of = <H extends DiskHost>(g: DiskGround<H>, h: H): Disk => {
-  const inc = h.inc;
-  const gone = (): Promise<never> => new Promise(() => undefined);
-  const op = (after: Us): Promise<void> =>
-    new Promise((fin) => {
-      g.later(after, h, fin);
+/** The file calls of a data folder, over `host.files`. */
+const calls = <H extends DiskHost>(ground: DiskGround<H>, host: H): FileCalls => {
+  const { rand, now } = ground;
+  const disk = host.disk;
+  const wait = (after: Us): Promise<void> =>
+    new Promise((done) => {
+      ground.later(after, host, done);
     });
-  const d = h.disk;
-  const broken = (step: string, code: 'full' | 'failed'): Error => fault.make({ step: `disk.${step}`, code }, code);
+  const takes = async (after: Us): Promise<void> => {
+    await wait(after);
+    while (now() < disk.hangsUntil) await wait(disk.hangsUntil - now());
+  };
   const sync = async (): Promise<void> => {
-    const usual = g.syncTime;
-    await op(Math.round((usual * 0.2 + g.rand.int(Math.round(usual * 0.8))) * d.slow));
-    while (g.now() < d.hangsUntil) await op(d.hangsUntil - g.now());
-    if (h.inc === inc) g.onSync();
+    const time = (ground.syncTime * 0.2 + rand.int(Math.round(ground.syncTime * 0.8))) * disk.slow;
+    disk.busyUntil = Math.max(now(), disk.busyUntil) + Math.round(time);
+    await takes(disk.busyUntil - now());
+    ground.onSync();
+    if (rand.next() < disk.fail.sync) throw failure('EIO');
   };
-  const folderSync = async (): Promise<void> => {
-    const before = [...d.removed.keys()];
+  const syncFolder = async (): Promise<void> => {
+    const covered = new Map([...disk.unsyncedNames].map(([name, former]) => [name, former.length]));
     await sync();
-    for (const name of before) d.removed.delete(name);
+    for (const [name, count] of covered) {
+      const since = disk.unsyncedNames.get(name)?.slice(count) ?? [];
+      if (since.length > 0) disk.unsyncedNames.set(name, since);
+      else disk.unsyncedNames.delete(name);
+    }
   };
-  const settle = (p: DiskWrite): void => {
-    const text = p.taken!;
-    if (g.rand.next() < d.fail.sync) {
+  const syncFile = async (name: string): Promise<void> => {
+    const text = host.files.get(name);
+    try {
+      await sync();
+    } catch (e) {
       // Nobody knows what the disk holds then.
-      if (p.inPlace) leave(h, p.name, damaged(g.rand, text));
-      return p.fail(broken('sync', 'failed'));
+      if (text !== undefined) host.files.set(name, tornAt(text, rand.int(text.length + 1))[rand.int(4)]!);
+      throw e;
     }
-    const renamed = p.inPlace || g.rand.next() >= d.fail.rename;
-    // A rename that fails may have happened all the same.
-    if (renamed || g.rand.int(2) === 0) h.files.set(p.name, text);
-    if (renamed) p.done();
-    else p.fail(broken('rename', 'failed'));
+    if (host.files.get(name) === text) disk.unsyncedBytes.delete(name);
+  };
+  const writeFile = async (name: string, text: string): Promise<void> => {
+    changeBytes(host, name, text.slice(0, rand.int(text.length)));
+    await takes(0);
+    if (disk.full) throw failure('ENOSPC');
+    changeBytes(host, name, text);
+  };
+  const open = async (at: unknown, flags: unknown): Promise<unknown> => {
+    const name = nameIn(at);
+    if (flags === 'w') {
+      await takes(0);
+      if (rand.next() < disk.fail.write) throw failure('EIO');
+      if (host.files.has(name)) changeBytes(host, name, '');
+      else changeName(host, name, '');
+    } else if (name !== '' && !host.files.has(name)) throw failure('ENOENT');
+    return {
+      writeFile: (text: string) => writeFile(name, text),
+      datasync: () => syncFile(name),
+      sync: () => (name === '' ? syncFolder() : syncFile(name)),
+      close: async () => undefined,
+    };
   };
-  const next = async (): Promise<void> => {
-    // Goes on with what is added meanwhile.
-    for (const p of d.line) {
-      d.line.delete(p);
-      d.busy = p;
-      if (!d.full) {
-        p.taken = p.text();
-        await sync();
-        if (!p.inPlace || d.syncFolder) await folderSync();
-        if (h.inc !== inc) return;
-        settle(p);
-      } else p.fail(broken('write', 'full'));
-      d.busy = null;
+  const rename = async (from: unknown, to: unknown): Promise<void> => {
+    const [source, target] = [nameIn(from), nameIn(to)];
+    const fails = rand.next() < disk.fail.rename;
+    // A rename that fails may have happened all the same.
+    if (!fails || rand.int(2) === 0) {
+      const bytes = disk.unsyncedBytes.has(source);
+      changeName(host, target, host.files.get(source));
+      changeName(host, source, undefined);
+      disk.unsyncedBytes.delete(source);
+      disk.unsyncedBytes.delete(target);
+      if (bytes) disk.unsyncedBytes.set(target, undefined);
     }
+    if (fails) throw failure('EIO');
+  };
+  const remove = async (at: unknown): Promise<void> => {
+    await takes(30);
+    const name = nameIn(at);
+    if (!host.files.has(name)) throw failure('ENOENT');
+    changeName(host, name, undefined);
+    disk.unsyncedBytes.delete(name);
   };
-  const write = async (name: string, inPlace: boolean, text: () => string): Promise<void> => {
-    if (d.full) throw broken('write', 'full');
-    if (g.rand.next() < d.fail.write) throw broken('write', 'failed');
-    const over = new Promise<void>((done, fail) => d.line.add({ name, inPlace, text, done, fail }));
-    if (!d.busy) void next();
-    await over;
-    if (h.inc !== inc) return gone();
+  const readFile = async (at: unknown): Promise<string> => {
+    // Several at once do not end in the order in which they began.
+    await takes(10 + rand.int(40));
+    if (rand.next() < disk.fail.read) throw failure('EIO');
+    const text = host.files.get(nameIn(at));
+    if (text === undefined) throw failure('ENOENT');
+    return text;
   };
-  return {
-    put: (name, text) => write(name, false, () => text),
-    create: (name, text) => write(name, true, text),
-    settle: async () => {
-      if (d.loose.size + d.removed.size === 0) return;
-      await folderSync();
-      d.loose.clear();
-    },
-    get: async (name) => {
-      // Several at once do not end in the order in which they began.
-      await op(10 + g.rand.int(40));
-      if (g.rand.next() < d.fail.read) throw broken('read', 'failed');
-      return h.files.get(name);
-    },
-    list: async () => {
-      await op(30);
-      return [...h.files.keys()].sort();
-    },
-    drop: async (name) => {
-      await op(30);
-      const text = h.files.get(name);
-      if (text !== undefined) d.removed.set(name, text);
-      h.files.delete(name);
-    },
+  const readdir = async (): Promise<string[]> => {
+    await takes(30);
+    return [...host.files.keys()].sort();
   };
+  const simulated = {
+    open,
+    rename,
+    readFile,
+    readdir,
+    unlink: remove,
+    rm: (at: unknown) => remove(at).catch(() => undefined),
+    mkdir: async () => undefined,
+  };
+  return simulated as unknown as FileCalls;
 };
 
-export const simulatedDisk = { state, of, end };
+export const simulatedDisk = {
+  state,
+  /** The longest time of a sync where a world says nothing else. */
+  usualSyncTime: us.ms(1),
+  /** The data folder of one start of a process: what runs on real machines, over the calls of the simulated disk. */
+  of: <H extends DiskHost>(ground: DiskGround<H>, host: H): Disk => files(root, calls(ground, host)),
+  end,
+  afterPowerLoss,
+};
--- a/packages/simulation/src/index.ts
+++ b/packages/simulation/src/index.ts
@@ -1,5 +1,6 @@
 export { world, type World, type Host } from './world.js';
 export { fleet, type Fleet, type Proc } from './fleet.js';
 export { scenarios, type Scenario, type Outcome } from './scenarios.js';
+export { simulatedDisk, type DiskState } from './disk.js';
 export { rules } from './rules.js';
 export { guardRun, type Guard, type Verdict } from './guards.js';
--- a/packages/simulation/src/measure-capacity.ts
+++ b/packages/simulation/src/measure-capacity.ts
@@ -722,7 +722,8 @@
 };
 const nowhere: Disk = {
   put: () => Promise.resolve(),
-  create: (_name, text) => Promise.resolve(void text()),
+  reserve: () => Promise.resolve(),
+  fill: (_name, text) => Promise.resolve(void text()),
   settle: () => Promise.resolve(),
   get: () => Promise.resolve(undefined),
   list: () => Promise.resolve([]),
--- a/packages/simulation/src/measure-registers.ts
+++ b/packages/simulation/src/measure-registers.ts
@@ -46,10 +46,7 @@
 };
 
 /** `syncTime` in the mean; a third of the changes are the first of their key. */
-export const simulated = async (
-  row: Row,
-  o: { syncTime: Us; rate: number; span: Us; syncFolder: boolean },
-): Promise<void> => {
+export const simulated = async (row: Row, o: { syncTime: Us; rate: number; span: Us }): Promise<void> => {
   const w = world.open({
     seed: 1,
     zoneDelay: us.ms(1),
@@ -61,7 +58,6 @@
   const group: Group = { mark: 1, members: ids.map((i) => ({ id: `k${i}`, at: at(i) })) };
   for (const i of ids) {
     const host = w.host(`127.0.2.${i}`, `z${i}`);
-    host.disk.syncFolder = o.syncFolder;
     const lens = w.lens(host);
     void pipe
       .open(lens, at(i))
@@ -96,7 +92,7 @@
   await w.run(w.now() + o.span + us.s(6));
   const all = Math.max(1, started);
   row(
-    `${o.syncTime / 1000} ms${o.syncFolder ? ', folder too' : ''}`,
+    `${o.syncTime / 1000} ms`,
     o.rate,
     started,
     failed,
--- a/packages/simulation/src/registers-cli.ts
+++ b/packages/simulation/src/registers-cli.ts
@@ -11,10 +11,8 @@
 const parts: Record<string, () => Promise<void>> = {
   simulated: async () => {
     head(simulatedHead);
-    for (const syncFolder of [true, false])
-      for (const syncTime of [2, 12])
-        for (const rate of [100, 400])
-          await simulated(row, { syncTime: us.ms(syncTime), rate, span: us.s(10), syncFolder });
+    for (const syncTime of [2, 12])
+      for (const rate of [100, 400]) await simulated(row, { syncTime: us.ms(syncTime), rate, span: us.s(10) });
   },
   bench: async () => {
     head(benchHead);
--- a/packages/simulation/src/world.ts
+++ b/packages/simulation/src/world.ts
@@ -514,7 +514,7 @@
       rand,
       now: () => now,
       later,
-      syncTime: o.diskTime ?? us.ms(1),
+      syncTime: o.diskTime ?? simulatedDisk.usualSyncTime,
       onSync: () => void (c.syncs += 1),
     };
 
