--- a/packages/runtime/src/real.ts
+++ b/packages/runtime/src/real.ts
@@ -2,7 +2,7 @@
 import { randomFillSync } from 'node:crypto';
 import debug from 'debug';
 import { connect } from './connection.js';
-import { files, type FileOptions } from './data-folder.js';
+import { files } from './data-folder.js';
 import { frames } from './frames.js';
 import { call } from './http-client.js';
 import { listener, serve } from './http-server.js';
@@ -46,10 +46,10 @@
 
 export const real = {
   listener,
-  lens: (folder: string, o: FileOptions = {}): Lens => ({
+  lens: (folder: string): Lens => ({
     clock,
     rand,
-    disk: files(folder, undefined, o),
+    disk: files(folder),
     net: { frames, serve, call, connect },
     log: logs,
   }),
