An order that was taken is never refused, however long ago; one that was refused never comes into force

Cause: the towers kept the ids of the last 512 pushes. A repeat of an older one was refused: 188 of 700 orders, sent again after 700 changes, got 412. An order on a base above the newest revision was refused with 412, and the same order was confirmed once that revision had come into force. An order with a field named __proto__ killed nothing but got no answer at all (the encoder throws). Without a majority a control machine took 3 to 5 s for its 503, while callers give a node one second. A read before the first configuration got 404, a final answer.

Now: receipts (base, mark, 96 bits of the id's digest) for the last 512 pushes, and the base up to which they are forgotten: an order on a base that old gets 503, never a refusal. Refusals on bases not yet in force are kept (64). The final answer comes within 0.8 s. News to nodes leaves out what only members of the core need.

--- a/packages/admin-api/src/control.ts
+++ b/packages/admin-api/src/control.ts
@@ -1,21 +1,33 @@
 // What an operator may ask, without the words of any interface (§7.3): our own HTTP and others' are put on top of it.
-import { fault, time, us, type Lens } from '@thornsail/runtime';
+import { fault, us, type Lens, type Us } from '@thornsail/runtime';
 import type { Mooring } from '@thornsail/membership';
-import { type Member, type NodeEntry, type Ordered, type Push, type PushResult } from '@thornsail/consensus';
+import {
+  configuration,
+  type Member,
+  type NodeEntry,
+  type Ordered,
+  type Push,
+  type PushResult,
+} from '@thornsail/consensus';
 
 export type ReadResult<News = unknown> = { state: Ordered; view: number; members: Member[]; news: News | null };
 export type DrainState = 'unknown' | 'too-few' | 'not draining' | 'waiting' | 'copying' | 'safe';
+/** Each call gives up after `within`, and throws then; the callers of some interfaces wait for a shorter time. */
 export type Control = {
   /** The agreed state, confirmed by a majority; throws if there is none to be had. */
-  read: () => Promise<{ seq: number; value: ReadResult }>;
+  read: (within?: Us) => Promise<{ seq: number; value: ReadResult }>;
   /** Judged by the towers; the same push again has one effect, so it is repeated until its outcome is known. */
-  push: (p: Push) => Promise<PushResult>;
+  push: (p: Push, within?: Us) => Promise<PushResult>;
+  /** What is known of a push without judging it, null if it may be accepted; and the source it would be applied to. */
+  lookUp: (p: Push, within?: Us) => Promise<{ known: PushResult | null; source: unknown }>;
   /** Has a keeper leave its group; repeated, it says how far that is. */
-  drain: (name: string) => Promise<DrainState>;
-  drained: (name: string) => Promise<DrainState>;
+  drain: (name: string, within?: Us) => Promise<DrainState>;
+  drained: (name: string, within?: Us) => Promise<DrainState>;
 };
 const pushLimit = us.s(5);
 const callLimit = us.s(3);
+/** The least that is left for a question to the core. */
+const leastLimit = us.ms(50);
 
 /** How far a keeper's drain is (§6.5). */
 export const drainState = (s: Ordered, node: NodeEntry): DrainState => {
@@ -33,30 +45,35 @@
 export const control = {
   open: (o: { lens: Lens; mooring: Mooring }): Control => {
     const { clock } = o.lens;
-    const read: Control['read'] = () => o.mooring.core.ask<ReadResult>({ op: 'read' }, callLimit);
-    const drained: Control['drained'] = async (name) => {
-      const { state } = (await read()).value;
+    const { core } = o.mooring;
+    const leftUntil = (end: Us): Us => Math.max(leastLimit, end - clock.now());
+    const read: Control['read'] = (within = callLimit) => core.ask<ReadResult>({ op: 'read' }, within);
+    const drained: Control['drained'] = async (name, within) => {
+      const { state } = (await read(within)).value;
       const n = named(state, name);
       return n ? drainState(state, n) : 'unknown';
     };
     return {
       read,
       drained,
-      push: async (p) => {
-        const end = clock.now() + pushLimit;
+      push: async (p, within = pushLimit) => {
+        const end = clock.now() + within;
         for (;;) {
-          const left = Math.max(us.s(1), end - clock.now());
-          const { value } = await o.mooring.core.ask<PushResult>({ op: 'push', push: p }, left);
+          const { value } = await core.ask<PushResult>({ op: 'push', push: p }, leftUntil(end));
           if (value.ok || value.why !== 'unconfirmed' || clock.now() >= end) return value;
         }
       },
-      drain: async (name) => {
-        const n = named((await read()).value.state, name);
+      lookUp: async (p, within) => {
+        const { state } = (await read(within)).value;
+        return { known: configuration.known(state, p), source: state.config.source ?? null };
+      },
+      drain: async (name, within = 3 * callLimit) => {
+        const end = clock.now() + within;
+        const n = named((await read(leftUntil(end))).value.state, name);
         if (!n || n.standing === 'dead') return 'unknown';
-        const { value } = await o.mooring.core.ask<boolean>({ op: 'drain', id: n.id, on: true }, callLimit);
+        const { value } = await core.ask<boolean>({ op: 'drain', id: n.id, on: true }, leftUntil(end));
         if (!value) return 'too-few';
-        await time.sleep(clock, 0);
-        return drained(name).catch((e: unknown) => {
+        return drained(name, leftUntil(end)).catch((e: unknown) => {
           throw fault.make({ step: 'drain', sibling: name, code: 'unknown' }, fault.text(e), e);
         });
       },
--- a/packages/admin-api/src/index.ts
+++ b/packages/admin-api/src/index.ts
@@ -115,6 +115,10 @@
         const body = { error: 'unconfirmed', mark: v.mark, push: id, fronts: v.fronts, message };
         return json(say, 503, body, { 'retry-after': '1' });
       }
+      if (v.why === 'forgotten') {
+        const message = `the base was replaced too long ago to say whether by this push; the mark is ${v.mark}`;
+        return json(say, 503, { error: 'forgotten', mark: v.mark, push: id, message }, { 'retry-after': '1' });
+      }
       if (v.why === 'collision')
         return json(say, 409, { error: 'collision', mark: v.mark, message: `the configuration is at mark ${v.mark}` });
       return json(say, 422, { error: 'invalid', mark: v.mark, problems: v.problems });
--- a/packages/consensus/src/core.ts
+++ b/packages/consensus/src/core.ts
@@ -3,7 +3,8 @@
 import { fault, time, us, type Lens, type Place, type Us } from '@thornsail/runtime';
 import type { Logbook } from '@thornsail/durable-files';
 import { shape, type Pipe } from '@thornsail/rpc';
-import { isNode, order, type NodeEntry, type Ordered, type Push, type PushResult } from './order.js';
+import type { Push, PushResult } from './configuration.js';
+import { isNode, order, type NodeEntry, type Ordered } from './order.js';
 import { views, type Marked, type Views } from './views.js';
 
 export type Suspicion = { by: string; id: string; inc: number };
--- a/packages/thornsail/src/roles.ts
+++ b/packages/thornsail/src/roles.ts
@@ -9,7 +9,7 @@
 import { mooring, type Mooring } from '@thornsail/membership';
 import { pipe, shape, type Pipe } from '@thornsail/rpc';
 import { control, root, signal, type Control, type NewsResult, type SignalNode } from '@thornsail/admin-api';
-import { core, order, type Ordered, type Marked } from '@thornsail/consensus';
+import { configuration, core, order, type Ordered, type Marked } from '@thornsail/consensus';
 import { watch } from '@thornsail/leases';
 
 export type Node = {
@@ -181,7 +181,8 @@
     const book = await logbook.open(lens.disk, disk.failed);
     const voter = watch.voter({ lens, pipe: p });
     const here: { moor?: Mooring } = {};
-    const give = (v: Marked<Ordered>): void => here.moor?.beam.put('order', v.seq, v);
+    const give = (v: Marked<Ordered>): void =>
+      here.moor?.beam.put('order', v.seq, { ...v, state: configuration.forNodes(v.state) });
     let last: Marked<Ordered> | undefined;
     const c = await core.open({
       lens,
