--- a/packages/simulation/src/guards.ts
+++ b/packages/simulation/src/guards.ts
@@ -263,9 +263,16 @@
     'true',
     { test: 'simulation/test/config.test.js' },
   ),
-  g('a collision is refused', '8 configuration', 'consensus/src/order.js', 'if (p.base !== present)', 'if (false)', {
-    test: 'simulation/test/api.test.js',
-  }),
+  g(
+    'a collision is refused',
+    '8 configuration',
+    'consensus/src/configuration.js',
+    'if (push.base === present)',
+    'if (true)',
+    {
+      test: 'simulation/test/api.test.js',
+    },
+  ),
   g(
     'an older mark never replaces a newer',
     '8 configuration',
--- a/packages/thornsail/src/roles.ts
+++ b/packages/thornsail/src/roles.ts
@@ -241,6 +241,7 @@
       counts: () => ({
         ...commonCounts(p, m),
         view: c.views.done()?.view ?? 0,
+        version: c.views.done()?.seq ?? 0,
         leads: c.views.standing() === 'lead' ? 1 : 0,
         syncs: book.counts().syncs,
         torn: book.counts().torn,
