--- a/packages/consensus/src/election.ts
+++ b/packages/consensus/src/election.ts
@@ -38,7 +38,7 @@
 export const startElection = <S>(step: Step<S>): void => {
   const { state } = step;
   const base = state.accepted;
-  if (!base || state.role !== 'follower' || state.election || state.writing) return;
+  if (!base || state.role !== 'follower' || state.election || state.writing || state.removed) return;
   if (!base.members.some((member) => member.id === state.id)) return;
   const term = state.term + 1;
   const election = beginPhase(step, 'pre-vote', term, base);
@@ -140,7 +140,8 @@
   const { state } = step;
   const { newest, term } = election;
   const current = state.role === 'candidate' && state.term === term && !state.writing;
-  const won = isWon(election) && newest.members.some((member) => member.id === state.id);
+  const isMember = newest.members.some((member) => member.id === state.id);
+  const won = isWon(election) && isMember;
   if (current && !won && election.pending > 0) return;
   state.election = undefined;
   if (current && won) {
@@ -148,6 +149,7 @@
     writeSnapshot(step, snapshot, { kind: 'take-over', snapshot });
     return;
   }
+  state.removed = !isMember;
   abandon(step);
   state.heardAt = step.now;
 };
--- a/packages/consensus/src/follower.ts
+++ b/packages/consensus/src/follower.ts
@@ -27,6 +27,7 @@
   state.leader = from;
   state.heardAt = step.now;
   state.restarted = false;
+  state.removed = false;
 };
 const abandonElection = <S>(step: Step<S>): void => {
   step.state.election = undefined;
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -47,6 +47,7 @@
     heardAt: now - timing.electionTimeout + timing.heartbeat * 1.5,
     restarted: accepted !== undefined,
     electionDelay: 0,
+    removed: false,
     deferred: [],
     nextRequest: 1,
     outstanding: new Map(),
--- a/packages/consensus/src/types.ts
+++ b/packages/consensus/src/types.ts
@@ -138,6 +138,8 @@
   /** Formed in an earlier life and nobody heard in this one. */
   restarted: boolean;
   electionDelay: Us;
+  /** A newer version without this member was seen: until a leader is heard it starts no more elections. */
+  removed: boolean;
   writing?: { write: WriteEffect<S>; continuation: Continuation<S> };
   /** Events that need the disk, in their order, while a write is under way. */
   deferred: Event<S>[];
