Operators get a definite 503 in under a second where no majority is in reach

The client of the coordinators asked one member after another, half a second each, for three to five seconds; an operator's own client goes on to another node after one second of silence. It now asks the next member when one is slow (0.15 s) or refuses, keeps waiting for the slow one, and for an operator's call gives up with code no-majority after 0.8 s. A known leader still gets one request and no more.

--- a/packages/consensus/src/client.ts
+++ b/packages/consensus/src/client.ts
@@ -1,53 +1,125 @@
-// How any node reaches the core (§3.3): the head it knew last, then where it is sent, then the others in turn.
+// How any node reaches the coordinators (§3.3): the leader it knew last, then a redirect, then the others.
 import { fault, time, us, type Lens, type Place, type Us } from '@thornsail/runtime';
 import type { Pipe } from '@thornsail/rpc';
 import type { CoreAsk, CoreResult } from './core.js';
 
-export type CoreClient = { ask: <T>(a: CoreAsk, timeLeft?: Us) => Promise<{ seq: number; value: T }> };
+export type CoreClient = {
+  /**
+   * Every operation may be repeated safely, so an unknown outcome is simply asked again. Throws with code
+   * `no-majority` when `timeLeft` is over; for what an operator waits for, as soon as no member has given an agreed
+   * answer for `operatorPatience`.
+   */
+  ask: <T>(ask: CoreAsk, timeLeft?: Us) => Promise<{ seq: number; value: T }>;
+};
+
+type Agreed = Extract<CoreResult, { ok: true }>;
+
+/** A member that does not answer in this time may be gone. To ask another, or twice, has no other effect. */
+const requestLimit = us.ms(500);
+/** A member that has not answered in this time is still waited for, while the next one is asked. */
+const hedgeAfter = us.ms(150);
+/** An operator's client goes on to another node after a second of silence: it gets its answer before. */
+const operatorPatience = us.ms(800);
+const operatorCalls: readonly CoreAsk['op'][] = ['push', 'read', 'drain'];
+const defaultTimeLeft = us.s(4);
+const pauseBetweenRounds = us.ms(40);
+const pauseSpread = us.ms(60);
+
+type Client = {
+  lens: Lens;
+  pipe: Pipe;
+  leader: Place | undefined;
+  /** Members that a coordinator named last. */
+  named: Place[];
+  lastError: unknown;
+};
+
+/** One member's answer, if it is an agreed one; what it says of the leader is remembered. */
+const askOne = async (client: Client, to: Place, ask: CoreAsk, limit: Us): Promise<Agreed | undefined> => {
+  try {
+    const result = await client.pipe.ask<CoreResult>(to, 'core', ask, limit);
+    if (result.ok) {
+      client.leader = to;
+      return result;
+    }
+    client.named = result.towers;
+    if (result.head && result.head !== to) client.leader = result.head;
+    else if (client.leader === to) client.leader = undefined;
+    client.lastError = fault.make({ step: `core.${ask.op}`, sibling: to }, result.why);
+  } catch (error) {
+    client.lastError = error;
+    if (client.leader === to) client.leader = undefined;
+  }
+  return undefined;
+};
+
+/** Asks each member once, the next one when one refused or is slow; the first agreed answer ends it. */
+const askRound = (client: Client, ask: CoreAsk, members: Place[], end: Us): Promise<Agreed | undefined> =>
+  new Promise((resolve) => {
+    const { clock } = client.lens;
+    const left = [...members];
+    const asked = new Set<Place>();
+    let open = 0;
+    let stopTimer = (): void => undefined;
+    const next = (): Place | undefined => {
+      const { leader } = client;
+      if (leader !== undefined && !asked.has(leader)) return leader;
+      return left.find((member) => !asked.has(member));
+    };
+    const finish = (result: Agreed | undefined): void => {
+      stopTimer();
+      asked.clear();
+      left.length = 0;
+      open = -Infinity;
+      resolve(result);
+    };
+    const askNext = (): void => {
+      stopTimer();
+      const to = open < 0 ? undefined : next();
+      if (to === undefined) {
+        if (open === 0) finish(undefined);
+        return;
+      }
+      asked.add(to);
+      open += 1;
+      stopTimer = clock.tick(hedgeAfter, askNext);
+      const limit = Math.min(requestLimit, Math.max(us.ms(1), end - clock.now()));
+      void askOne(client, to, ask, limit).then((result) => {
+        open -= 1;
+        if (result) finish(result);
+        else askNext();
+      });
+    };
+    askNext();
+  });
 
-/** A tower that does not answer in this time may be gone; asking another costs nothing, asking twice has one effect. */
-const roundLimit = us.ms(500);
+const askUntil = async <T>(
+  client: Client,
+  ask: CoreAsk,
+  members: () => Place[],
+  timeLeft: Us,
+): Promise<{ seq: number; value: T }> => {
+  const { clock, rand } = client.lens;
+  const patience = operatorCalls.includes(ask.op) ? Math.min(timeLeft, operatorPatience) : timeLeft;
+  const end = clock.now() + patience;
+  while (clock.now() < end) {
+    const all = [...new Set([...members(), ...client.named])];
+    const result = await askRound(client, ask, all, end);
+    if (result) return { seq: result.seq, value: result.value as T };
+    const pause = pauseBetweenRounds + rand.int(pauseSpread);
+    if (clock.now() + pause >= end) break;
+    await time.sleep(clock, pause);
+  }
+  const text = 'the coordinators gave no agreed result in time';
+  throw fault.make({ step: `core.${ask.op}`, code: 'no-majority' }, text, client.lastError);
+};
 
 export const coreClient = {
-  open: (o: { lens: Lens; pipe: Pipe; towers: () => Place[] }): CoreClient => {
-    const { lens, pipe } = o;
-    let head: Place | undefined;
-    let extra: Place[] = [];
+  open: (options: { lens: Lens; pipe: Pipe; towers: () => Place[] }): CoreClient => {
+    const { lens, pipe, towers } = options;
+    const client: Client = { lens, pipe, leader: undefined, named: [], lastError: undefined };
     return {
-      /** Every operation may be repeated safely, so an unknown outcome is simply asked again until time is out. */
-      ask: async <T>(a: CoreAsk, timeLeft: Us = us.s(4)) => {
-        const end = lens.clock.now() + timeLeft;
-        let i = 0;
-        let last: unknown;
-        while (lens.clock.now() < end) {
-          const all = [...new Set([...o.towers(), ...extra])];
-          const to = head ?? all[i++ % Math.max(1, all.length)];
-          if (!to) {
-            await time.sleep(lens.clock, us.ms(100));
-            continue;
-          }
-          try {
-            const r = await pipe.ask<CoreResult>(
-              to,
-              'core',
-              a,
-              Math.min(roundLimit, end - lens.clock.now() + us.ms(1)),
-            );
-            if (r.ok) {
-              head = to;
-              return { seq: r.seq, value: r.value as T };
-            }
-            extra = r.towers;
-            head = r.head && r.head !== to ? r.head : undefined;
-            last = fault.make({ step: `core.${a.op}`, sibling: to }, r.why);
-          } catch (e) {
-            last = e;
-            head = undefined;
-          }
-          if (!head) await time.sleep(lens.clock, us.ms(40 + lens.rand.int(60)));
-        }
-        throw fault.make({ step: `core.${a.op}`, code: 'no-majority' }, 'the core gave no agreed result in time', last);
-      },
+      ask: (ask, timeLeft = defaultTimeLeft) => askUntil(client, ask, towers, timeLeft),
     };
   },
 };
