--- a/packages/consensus/src/presence.ts
+++ b/packages/consensus/src/presence.ts
@@ -1,6 +1,6 @@
 // In which condition the members of a group are (§3.3, §6.5): read from the roster, and from how long this leader has
 // missed them by its own clock.
-import type { Clock, Us } from '@thornsail/runtime';
+import { us, type Clock, type Us } from '@thornsail/runtime';
 import type { Condition } from './repair.js';
 import { order, type NodeEntry, type NodeRole, type Ordered } from './order.js';
 import type { Member } from './views.js';
@@ -19,10 +19,11 @@
       (entry === undefined ? isAlive(other) : other.since >= entry.since),
   );
 };
-/** One that joined after the member was lost, and has no place yet: it was started in that member's stead. */
+/** A spare that joined so shortly before a member was ruled dead, or after it, was started in that member's stead. */
+const successorWithin = us.s(10);
 const hasSuccessor = (s: Ordered, member: Member, spares: NodeEntry[]): boolean => {
   const entry = s.roster[member.id];
-  return entry !== undefined && spares.some((spare) => spare.since > entry.since);
+  return entry !== undefined && spares.some((spare) => spare.since > entry.since - successorWithin);
 };
 
 /** Those whose zone holds no member yet come first. */
@@ -59,7 +60,9 @@
       condition: (s, member, spares) => {
         if (isAlive(s.roster[member.id])) {
           silentSince.delete(member.id);
-          return s.keepers.draining.includes(member.id) ? 'leaving' : 'serving';
+          // One whose process ends in order stays a member unless a spare is there: it may start again with its disk.
+          const ends = s.roster[member.id]!.standing === 'leaving' && spares.length > 0;
+          return ends || s.keepers.draining.includes(member.id) ? 'leaving' : 'serving';
         }
         if (isGone(s, member)) return 'gone';
         const waited = silentFor(member.id) > o.replaceAfter;
--- a/packages/register-store/src/sweep.ts
+++ b/packages/register-store/src/sweep.ts
@@ -22,8 +22,16 @@
   purged: number;
   ranges: number;
 };
-/** Keys settled at once: after a change of group, and else. */
-const atOnce = { all: 16, mending: 4 };
+/**
+ * Ranges looked at, and keys of each settled, at once. After a change of group no further keeper may fail before all is
+ * settled, and each waits for its disk: many share one sync.
+ */
+const paces = {
+  change: { ranges: 16, keys: 16 },
+  fill: { ranges: 8, keys: 8 },
+  usual: { ranges: 1, keys: 4 },
+};
+export type SweepPace = keyof typeof paces;
 /** Keys that are looked at for dropping in one go. */
 const dueAtOnce = 256;
 /** What one member is waited for. */
@@ -76,6 +84,7 @@
 const tellFilled = (o: { pipe: Pipe; group: Group }, k: Keep): Promise<unknown> =>
   o.pipe.ask(k.at, 'reg.filled', { to: k.id, group: o.group }, us.ms(800)).catch(() => undefined);
 
+type Page = Extract<ListResult, { ok: true }>;
 type Member<T> = { keeper: Keep; reply: T };
 /**
  * The replies of a group: all that come within `askWithin`, or, with `need`, those that come until a little after so
@@ -109,9 +118,12 @@
   group: Group;
   all: boolean;
   pause: Us;
+  /** As `change` where `all` is asked for, else `usual`, unless it is said. */
+  pace?: SweepPace;
   still: () => boolean;
   progress?: (seen: number) => void;
 };
+const paceOf = (o: Pass): { ranges: number; keys: number } => paces[o.pace ?? (o.all ? 'change' : 'usual')];
 const askMembers = async <T extends { ok: boolean }>(
   o: Pass,
   keepers: Keep[],
@@ -135,9 +147,7 @@
     return here.some((d) => d !== here[0]);
   });
 /** The copies by key, and up to which key they were listed: keys beyond the shortest full page are left for the next. */
-const copiesByKey = (
-  pages: Member<Extract<ListResult, { ok: true }>>[],
-): { copies: [string, Found[]][]; end: string | null } => {
+const copiesByKey = (pages: Member<Page>[]): { copies: [string, Found[]][]; end: string | null } => {
   const ends = pages.map((p) => p.reply.next).filter((n): n is string => n !== null);
   const end = ends.length ? ends.reduce((a, b) => (a < b ? a : b)) : null;
   const byKey = new Map<string, Found[]>();
@@ -170,7 +180,7 @@
       else await one(...next).catch(() => (failed = true));
     }
   };
-  await Promise.all(Array.from({ length: o.all ? atOnce.all : atOnce.mending }, work));
+  await Promise.all(Array.from({ length: paceOf(o).keys }, work));
   return !failed;
 };
 
@@ -193,21 +203,26 @@
     r.ranges = todo.length;
     // Those that did not answer are not asked again in this pass.
     let asked = digested.map((d) => d.keeper);
-    for (const range of todo) {
+    let failed = false;
+    const sweepRange = async (range: number): Promise<boolean> => {
       for (let after: string | null = ''; after !== null;) {
-        if (!o.still()) return r;
-        const pages: Member<Extract<ListResult, { ok: true }>>[] = await askMembers<ListResult>(o, asked, 'reg.list', {
-          after,
-          limit: pageOf,
-          range,
-        });
-        if (pages.length < need) return r;
+        if (!o.still() || failed) return false;
+        const page = { after, limit: pageOf, range };
+        const pages: Member<Page>[] = await askMembers<ListResult>(o, asked, 'reg.list', page);
+        if (pages.length < need) return false;
         asked = asked.filter((k) => pages.some((p) => p.keeper === k));
         const { copies, end } = copiesByKey(pages);
-        if (!(await settlePage(o, r, copies, pages.length))) return r;
+        if (!(await settlePage(o, r, copies, pages.length))) return false;
         after = end;
       }
-    }
+      return true;
+    };
+    const work = async (): Promise<void> => {
+      for (let range = todo.shift(); range !== undefined && !failed; range = todo.shift())
+        if (!(await sweepRange(range))) failed = true;
+    };
+    await Promise.all(Array.from({ length: paceOf(o).ranges }, work));
+    if (failed) return r;
     r.complete = true;
     if (o.all || asked.length < group.members.length) return r;
     await Promise.all(group.members.map((k) => tellFilled(o, k)));
--- a/packages/thornsail/src/roles.ts
+++ b/packages/thornsail/src/roles.ts
@@ -3,7 +3,7 @@
 import type { FrontOptions, KeeperOptions, PilotOptions, TowerOptions } from '@thornsail/config-schema';
 import { harbour, type PlatformWorker } from '@thornsail/service-catalog';
 import { registers, store, type Registers } from '@thornsail/register-store';
-import { fault, invariant, us, type HttpHandler, type Lens, type Place, type Us } from '@thornsail/runtime';
+import { fault, invariant, time, us, type HttpHandler, type Lens, type Place, type Us } from '@thornsail/runtime';
 import type { WorkerEntry } from '@thornsail/load-balancer';
 import { logbook } from '@thornsail/durable-files';
 import { mooring, type Mooring } from '@thornsail/membership';
@@ -59,6 +59,8 @@
 });
 type Parts = Omit<SignalNode, 'drain'> & {
   drain: (o?: Drain) => Promise<void>;
+  /** Waits, once the leave is told, until another node has this one's place in its group. */
+  replaced?: () => Promise<void>;
   http: Place;
   stop: () => void;
   onFailed?: Node['onFailed'];
@@ -67,6 +69,25 @@
   maxBody?: number;
 };
 
+/** How long a member of a group that ends in order waits for a spare to take its place (§3.3, §6.5). */
+const replacedWithin = us.ms(2500);
+const replacedEvery = us.ms(50);
+/** Resolves once this node is no member any more, at once if no spare could replace it. */
+const untilReplaced = async (
+  lens: Lens,
+  m: Mooring,
+  role: 'tower' | 'keeper',
+  members: () => { id: string }[],
+): Promise<void> => {
+  const end = lens.clock.now() + replacedWithin;
+  const isMember = (id: string): boolean => members().some((x) => x.id === id);
+  const hasSpare = (): boolean => {
+    const s = m.state();
+    return s !== undefined && order.live(s, role).some((n) => n.standing === 'live' && !isMember(n.id));
+  };
+  while (isMember(m.id) && hasSpare() && lens.clock.now() < end) await time.sleep(lens.clock, replacedEvery);
+};
+
 /** What all roles share: the operators' HTTP, draining by a sibling's word, closing in order. */
 const serve = async (x: Parts): Promise<Node> => {
   let draining: Promise<void> | undefined;
@@ -76,6 +97,7 @@
       const done = x.drain(o);
       await x.mooring.leave();
       await done;
+      await x.replaced?.();
     })());
   const ops = signal.handler({ ...x, drain: () => drain() });
   const own = x.callers;
@@ -201,6 +223,7 @@
         torn: book.counts().torn,
       }),
       drain: async () => undefined,
+      replaced: () => untilReplaced(lens, m, 'tower', () => m.marked()?.members ?? []),
       stop: () => c.close(),
       onFailed: disk.onFailed,
     });
@@ -263,6 +286,7 @@
         torn: book.counts().torn,
       }),
       drain: async () => undefined,
+      replaced: () => untilReplaced(lens, m, 'keeper', () => m.state()?.keepers.members ?? []),
       stop: stopSweep,
       onFailed: disk.onFailed,
     });
--- a/packages/thornsail/src/sweep-duty.ts
+++ b/packages/thornsail/src/sweep-duty.ts
@@ -4,7 +4,7 @@
 import { time, us, type Lens, type Place, type Us } from '@thornsail/runtime';
 import { watch } from '@thornsail/leases';
 import type { Mooring } from '@thornsail/membership';
-import { sweep, type Group, type Registers, type SweepResult } from '@thornsail/register-store';
+import { sweep, type Group, type Registers, type SweepPace, type SweepResult } from '@thornsail/register-store';
 import type { Ordered } from '@thornsail/consensus';
 import type { Pipe } from '@thornsail/rpc';
 
@@ -49,20 +49,29 @@
     add('swept_ranges', r.ranges);
     add('swept_mended', r.mended);
   };
-  const pass = async (group: Group, all: boolean, pause: Us): Promise<boolean> => {
+  const pass = async (group: Group, pace: SweepPace): Promise<boolean> => {
     const still = (): boolean => !closed && groupOf(m)?.mark === group.mark;
-    const r = await sweep.pass({ clock, pipe: o.pipe, registers: o.registers, group, all, pause, still });
+    const r = await sweep.pass({
+      clock,
+      pipe: o.pipe,
+      registers: o.registers,
+      group,
+      all: pace === 'change',
+      pause: pace === 'usual' ? pauseBetweenKeys : 0,
+      pace,
+      still,
+    });
     count(r);
     return r.complete;
   };
   /** Settles everything under the new mark, says so, and then fills the newcomer. */
   const sweepChange = async (group: Group): Promise<void> => {
-    if (!(await pass(group, true, 0))) return;
+    if (!(await pass(group, 'change'))) return;
     log(`every record is on a majority of group ${group.mark}.`);
     await m.core.ask({ op: 'swept', mark: group.mark }, tellWithin).catch(() => undefined);
     // Brings up what the newcomer lacks; the lease's holder goes on if this one is lost meanwhile.
     lastFull = clock.now() - fullEvery;
-    if (await pass(group, false, 0)) lastFull = clock.now();
+    if (await pass(group, 'fill')) lastFull = clock.now();
   };
   const isMine = (s: Ordered): boolean =>
     firstMember(s) === o.id || (lease.holds() && clock.now() - changed.at > firstWithin);
@@ -76,7 +85,7 @@
       return;
     }
     if (!lease.holds() || clock.now() - lastFull < fullEvery) return;
-    if (await pass(group, false, pauseBetweenKeys)) lastFull = clock.now();
+    if (await pass(group, 'usual')) lastFull = clock.now();
   };
   let running = false;
   const look = async (): Promise<void> => {
