--- a/packages/admin-api/src/control.ts
+++ b/packages/admin-api/src/control.ts
@@ -10,7 +10,14 @@
   type PushResult,
 } from '@thornsail/consensus';
 
-export type ReadResult<News = unknown> = { state: Ordered; view: number; members: Member[]; news: News | null };
+export type ReadResult<News = unknown> = {
+  state: Ordered;
+  view: number;
+  members: Member[];
+  news: News | null;
+  /** Whether the keeper group needs no further change; a leader of the release before does not say. */
+  repaired?: boolean;
+};
 export type DrainState = 'unknown' | 'too-few' | 'not draining' | 'waiting' | 'copying' | 'safe';
 /** Each call gives up after `within`, and throws then; the callers of some interfaces wait for a shorter time. */
 export type Control = {
@@ -29,12 +36,12 @@
 /** The least that is left for a question to the core. */
 const leastLimit = us.ms(50);
 
-/** How far a keeper's drain is (§6.5). */
-export const drainState = (s: Ordered, node: NodeEntry): DrainState => {
+/** How far a keeper's drain is (§6.5): safe only once the group without it is full, and bears the next loss. */
+export const drainState = (s: Ordered, node: NodeEntry, repaired = true): DrainState => {
   const k = s.keepers;
   if (!k.draining.includes(node.id)) return 'not draining';
   if (k.members.some((m) => m.id === node.id)) return k.swept === k.mark ? 'waiting' : 'copying';
-  return k.swept === k.mark ? 'safe' : 'copying';
+  return k.swept === k.mark && repaired ? 'safe' : 'copying';
 };
 /** A node by its name: the one that lives, else the one that was lost last. */
 const named = (s: Ordered, name: string): NodeEntry | undefined =>
@@ -49,9 +56,9 @@
     const leftUntil = (end: Us): Us => Math.max(leastLimit, end - clock.now());
     const read: Control['read'] = (within = callLimit) => core.ask<ReadResult>({ op: 'read' }, within);
     const drained: Control['drained'] = async (name, within) => {
-      const { state } = (await read(within)).value;
+      const { state, repaired } = (await read(within)).value;
       const n = named(state, name);
-      return n ? drainState(state, n) : 'unknown';
+      return n ? drainState(state, n, repaired) : 'unknown';
     };
     return {
       read,
--- a/packages/consensus/src/index.ts
+++ b/packages/consensus/src/index.ts
@@ -1,7 +1,11 @@
 export { consensus, type Consensus, type ConsensusOptions } from './driver.js';
 export type { Change, Member, Role, Snapshot, Timing } from './types.js';
 export { views, type Standing, type Marked, type Views } from './views.js';
-export { order, type KeeperGroup, type NodeEntry, type NodeRole, type Ordered } from './order.js';
+export { order, type NodeEntry, type NodeRole, type Ordered } from './order.js';
 export { configuration, type PastConfig, type Push, type PushResult } from './configuration.js';
-export { core, type Core, type CoreAsk, type CoreResult, type Suspicion } from './core.js';
+export { groups, type GroupChange, type KeeperGroup } from './groups.js';
+export { presence, type Presence } from './presence.js';
+export { repair, type Condition, type ReplicaGroup, type ReplicaMember, type RepairStep } from './repair.js';
+export { core, type Core, type CoreAsk, type CoreResult } from './core.js';
+export type { Suspicion } from './rulings.js';
 export { coreClient, type CoreClient } from './client.js';
--- a/packages/thornsail/src/roles.ts
+++ b/packages/thornsail/src/roles.ts
@@ -2,7 +2,7 @@
 import { workersOf, fairway, type Drain, type EdgeLoad, type Fairway } from '@thornsail/data-plane';
 import type { FrontOptions, KeeperOptions, PilotOptions, TowerOptions } from '@thornsail/config-schema';
 import { harbour, type PlatformWorker } from '@thornsail/service-catalog';
-import { registers, store, sweep, type Group, type Registers } from '@thornsail/register-store';
+import { registers, store, type Registers } from '@thornsail/register-store';
 import { fault, invariant, time, us, type HttpHandler, type Lens, type Place, type Us } from '@thornsail/runtime';
 import type { WorkerEntry } from '@thornsail/load-balancer';
 import { logbook } from '@thornsail/durable-files';
@@ -12,6 +12,7 @@
 import { configuration, core, order, type Ordered, type Marked } from '@thornsail/consensus';
 import { watch } from '@thornsail/leases';
 import { obeyDrain } from './drain.js';
+import { groupOf, sweepDuty } from './sweep-duty.js';
 
 export type Node = {
   id: string;
@@ -32,6 +33,8 @@
   fairway?: Fairway;
 };
 const operatorBody = 1 << 20;
+/** Where there are so many coordinators all of them vote: a loss right after a loss is borne without any repair (§3.3). */
+const usualTowers = 5;
 
 type DiskWatch = { failed: (e: Error) => void; onFailed: Node['onFailed'] };
 const diskOf = (lens: Lens): DiskWatch => {
@@ -47,10 +50,6 @@
     onFailed: (fn) => (why === undefined ? void told.push(fn) : fn(why)),
   };
 };
-const groupOf = (m: Mooring): Group | undefined => {
-  const k = m.state()?.keepers;
-  return k && k.mark > 0 ? { mark: k.mark, members: k.members } : undefined;
-};
 const commonCounts = (p: Pipe, m: Mooring): Record<string, number> => ({
   breaches: invariant.breaches().length,
   frames_sent: p.counts().sent,
@@ -61,6 +60,8 @@
 });
 type Parts = Omit<SignalNode, 'drain'> & {
   drain: (o?: Drain) => Promise<void>;
+  /** Waits, once the leave is told, until another node has this one's place in its group. */
+  replaced?: () => Promise<void>;
   http: Place;
   stop: () => void;
   onFailed?: Node['onFailed'];
@@ -69,6 +70,25 @@
   maxBody?: number;
 };
 
+/** How long a member of a group that ends in order waits for a spare to take its place (§3.3, §6.5). */
+const replacedWithin = us.ms(2500);
+const replacedEvery = us.ms(50);
+/** Resolves once this node is no member any more, at once if no spare could replace it. */
+const untilReplaced = async (
+  lens: Lens,
+  m: Mooring,
+  role: 'tower' | 'keeper',
+  members: () => { id: string }[],
+): Promise<void> => {
+  const end = lens.clock.now() + replacedWithin;
+  const isMember = (id: string): boolean => members().some((x) => x.id === id);
+  const hasSpare = (): boolean => {
+    const s = m.state();
+    return s !== undefined && order.live(s, role).some((n) => n.standing === 'live' && !isMember(n.id));
+  };
+  while (isMember(m.id) && hasSpare() && lens.clock.now() < end) await time.sleep(lens.clock, replacedEvery);
+};
+
 /** What all roles share: the operators' HTTP, draining by a sibling's word, closing in order. */
 const serve = async (x: Parts): Promise<Node> => {
   let draining: Promise<void> | undefined;
@@ -78,6 +98,7 @@
       const done = x.drain(o);
       await x.mooring.leave();
       await done;
+      await x.replaced?.();
     })());
   const ops = signal.handler({ ...x, drain: () => drain() });
   const own = x.callers;
@@ -111,53 +132,6 @@
   };
 };
 
-/** The sweep is a duty: one keeper at a time holds it (§6.5). */
-const sweepDuty = (o: {
-  lens: Lens;
-  pipe: Pipe;
-  mooring: Mooring;
-  registers: Registers;
-  id: string;
-  voters: () => Place[];
-  counts: Record<string, number>;
-}): (() => void) => {
-  const { lens, mooring: m } = o;
-  const log = lens.log('keeper');
-  const duty = watch.duty({ lens, pipe: o.pipe, name: 'sweep', by: o.id, voters: o.voters });
-  let lastFull = lens.clock.now();
-  const stop = time.every(lens.clock, us.ms(500), async () => {
-    const group = groupOf(m);
-    const swept = m.state()?.keepers.swept ?? 0;
-    if (!duty.holds() || !group) return;
-    const changed = group.mark !== swept;
-    if (!changed && lens.clock.now() - lastFull < us.s(20)) return;
-    const r = await sweep.pass({
-      clock: lens.clock,
-      pipe: o.pipe,
-      registers: o.registers,
-      group,
-      all: changed,
-      pause: changed ? 0 : us.ms(2),
-      still: () => duty.holds() && groupOf(m)?.mark === group.mark,
-    });
-    o.counts['sweeps'] = (o.counts['sweeps'] ?? 0) + 1;
-    o.counts['swept_keys'] = (o.counts['swept_keys'] ?? 0) + r.seen;
-    o.counts['swept_ranges'] = (o.counts['swept_ranges'] ?? 0) + r.ranges;
-    o.counts['swept_mended'] = (o.counts['swept_mended'] ?? 0) + r.mended;
-    if (!r.complete) return;
-    // After a change of group the next pass follows at once: it brings up what the newcomer lacks.
-    lastFull = changed ? -us.s(60) : lens.clock.now();
-    if (changed) {
-      log(`every record is on a majority of group ${group.mark}.`);
-      await m.core.ask({ op: 'swept', mark: group.mark }, us.s(3)).catch(() => undefined);
-    }
-  });
-  return () => {
-    stop();
-    duty.close();
-  };
-};
-
 export type ReadWorkers = (known: (id: string) => WorkerEntry | undefined) => Promise<PlatformWorker[]>;
 /**
  * One pilot's reading of the list serves all: the first of those that live reads it when the newest list is old enough,
@@ -199,7 +173,11 @@
         return l === undefined ? -1 : (l.uses ?? Infinity);
       },
       onLead: (mark) => here.moor?.beam.put('core', mark, {}),
-      times: { keepers: 2 * o.tolerates + 1, towers: 2 * o.tolerates + 1, leastKeepers: o.leastKeepers },
+      times: {
+        keepers: 2 * o.tolerates + 1,
+        towers: Math.max(usualTowers, 2 * o.tolerates + 1),
+        leastKeepers: o.leastKeepers,
+      },
       news: (): NewsResult => ({
         workers: here.moor ? workersOf(here.moor.beam, lens.clock.now()) : [],
         loads: Object.fromEntries((here.moor?.beam.all('load/') ?? []).map((x) => [x.name.slice(5), x.item.value])),
@@ -245,6 +223,7 @@
         torn: book.counts().torn,
       }),
       drain: async () => undefined,
+      replaced: () => untilReplaced(lens, m, 'tower', () => m.marked()?.members ?? []),
       stop: () => c.close(),
       onFailed: disk.onFailed,
     });
@@ -307,6 +286,7 @@
         torn: book.counts().torn,
       }),
       drain: async () => undefined,
+      replaced: () => untilReplaced(lens, m, 'keeper', () => m.state()?.keepers.members ?? []),
       stop: stopSweep,
       onFailed: disk.onFailed,
     });
