Load goes over a grid of edges, and the tree gathers it

Cause: with 66 edges each told each other directly (110 messages a second each way at an idle front, five times that under traffic), and each relay passed on 40 single items a second.

More than 16 edges form rows: an edge tells its row, one edge of each row passes its bundle on. Up to 16 nothing changes. From 24 relays on each hop gathers load for 0.2 s. What the others run is added up once for each news. Ruled out: the pilots' tree alone as the carrier (eight hops of gathering are older than the picking allows).

--- a/packages/data-plane/src/admission.ts
+++ b/packages/data-plane/src/admission.ts
@@ -67,6 +67,8 @@
   hasWorkers: () => boolean;
   siblings: (l: (EdgeLoad & { id: string })[]) => void;
   config: (c: Config) => void;
+  /** Turns that run at a worker, at all edges as far as this one has heard. */
+  runningAt: (worker: string) => number;
   load: () => Omit<EdgeLoad, 'took' | 'uses'>;
   held: () => number;
   /** Whether any turn waits for a slot here. */
@@ -374,6 +376,7 @@
         pump();
       },
       load: () => ({ load: berths.load(), ...pilotage.totals(st) }),
+      runningAt: berths.runningAt,
       held: () => st.held.size,
       waits: () => buffers.size > 0,
       counts: () => ({ ...st.counts, ...c }),
--- a/packages/data-plane/src/index.ts
+++ b/packages/data-plane/src/index.ts
@@ -30,6 +30,7 @@
 import { saying } from './say.js';
 
 export type { EdgeLoad } from './admission.js';
+export { loadPaths, type EdgePeer, type LoadPaths } from './load-paths.js';
 export { optionsOf } from './admission.js';
 export { plan, type Plan } from './plan.js';
 export { dialect, type Dialect, type HeaderNames } from './forward/dialect.js';
--- /dev/null
+++ b/packages/data-plane/src/load-exchange.ts
@@ -0,0 +1,70 @@
+// Sends this edge's load to the other edges and hears of theirs (§3.5), over the paths that `load-paths.ts` names.
+import { isLoad } from '@thornsail/membership';
+import { shape, type Pipe } from '@thornsail/rpc';
+import type { Clock, Us } from '@thornsail/runtime';
+import type { EdgeLoad } from './admission.js';
+import type { LoadPaths } from './load-paths.js';
+
+/** One edge's load; of two with the same sender the one with the higher mark is the newer. */
+export type LoadMessage = { from: string; mark: number; load: EdgeLoad };
+export type ReceivedLoad = { mark: number; at: Us; load: EdgeLoad };
+export type LoadExchange = {
+  /** This edge's own load, to its row at once and to the other rows with the row's next bundle. */
+  send: (message: LoadMessage) => void;
+  /** The newest load by sender. */
+  received: Map<string, ReceivedLoad>;
+};
+const isLoadMessage = shape.has({ from: shape.text, mark: shape.whole, load: isLoad });
+
+export const loadExchange = {
+  /** `pause` is the least time between two bundles, `received` is called when another edge's load has come. */
+  open: (o: {
+    clock: Clock;
+    pipe: Pipe;
+    me: string;
+    paths: () => LoadPaths;
+    pause: () => Us;
+    onReceived: () => void;
+  }): LoadExchange => {
+    const { clock, pipe, me } = o;
+    const received = new Map<string, ReceivedLoad>();
+    /** What this edge has not passed on to the other rows yet. */
+    const bundle = new Map<string, LoadMessage>();
+    let lastBundle = -Infinity;
+    let bundleDue = false;
+    const sendBundle = (): void => {
+      bundleDue = false;
+      lastBundle = clock.now();
+      pipe.tellAll(o.paths().otherRows, 'loads', [...bundle.values()]);
+      bundle.clear();
+    };
+    const passOn = (message: LoadMessage): void => {
+      if (o.paths().otherRows.length === 0) return;
+      bundle.set(message.from, message);
+      if (bundleDue) return;
+      bundleDue = true;
+      clock.tick(Math.max(0, lastBundle + o.pause() - clock.now()), sendBundle);
+    };
+    /** False if it is no news: this edge's own, or older than what is known. */
+    const take = ({ from, mark, load }: LoadMessage): boolean => {
+      if (from === me || (received.get(from)?.mark ?? -1) >= mark) return false;
+      received.set(from, { mark, at: clock.now(), load });
+      return true;
+    };
+    pipe.on<LoadMessage>('load', isLoadMessage, (message) => {
+      if (!take(message)) return;
+      passOn(message);
+      o.onReceived();
+    });
+    pipe.on<LoadMessage[]>('loads', shape.list(isLoadMessage), (messages) => {
+      if (messages.filter(take).length > 0) o.onReceived();
+    });
+    return {
+      received,
+      send: (message) => {
+        pipe.tellAll(o.paths().row, 'load', message);
+        passOn(message);
+      },
+    };
+  },
+};
--- a/packages/data-plane/src/report.ts
+++ b/packages/data-plane/src/report.ts
@@ -1,10 +1,12 @@
-// What an edge tells the other edges of its load, and hears of theirs (§4.4, §5.2): straight to them soon after a
-// change, so that two edges seldom see the same slot free. The news (§3.5) carries it as well, seldom: for operators,
-// for an edge that the straight way does not reach; and by itself which configuration is in use.
-import { isLoad, type Mooring } from '@thornsail/membership';
+// When an edge tells the other edges of its load, and when it takes in theirs (§4.4, §5.2): soon after a change, so
+// that two edges seldom see the same slot free. The news (§3.5) carries it as well, seldom: for operators, for an edge
+// that the exchange does not reach; and by itself which configuration is in use.
+import type { Mooring } from '@thornsail/membership';
 import { us, type Clock, type Us } from '@thornsail/runtime';
-import { shape, type Pipe } from '@thornsail/rpc';
+import type { Pipe } from '@thornsail/rpc';
 import type { Admission, EdgeLoad } from './admission.js';
+import { loadExchange, type ReceivedLoad } from './load-exchange.js';
+import { directUpTo, loadPaths, type EdgePeer, type LoadPaths } from './load-paths.js';
 
 export type Report = {
   /** Something changed: the other edges hear of it within `soonest`. */
@@ -19,8 +21,6 @@
   /** When another edge was heard of last; -Infinity if never. */
   heardOf: (edge: string) => Us;
 };
-type Heard = { mark: number; at: Us; load: EdgeLoad };
-type Message = { from: string; mark: number; load: EdgeLoad };
 /** So long after the last time; sooner while turns wait anywhere, since slots are scarce then. */
 const soonest = us.ms(200);
 const soonestWhileWaiting = us.ms(100);
@@ -28,6 +28,8 @@
 const newsEvery = us.ms(1500);
 /** What several edges say within this time is taken in together. */
 const gather = us.ms(25);
+/** The same where load comes in bundles, from many edges: taking it in looks at all of them. */
+const gatherOfMany = us.ms(50);
 const ageEvery = us.ms(200);
 const waits = (l: EdgeLoad): boolean => Object.keys(l.load.waiting).length > 0;
 /** Totals age out with their owner: by the roster, or by silence. */
@@ -45,7 +47,6 @@
     const { clock, me, pipe } = o;
     const { beam } = o.mooring;
     const took = new Map<string, Us>();
-    const straight = new Map<string, Heard>();
     let mark = 0;
     let last = '';
     let lastPut = -soonest;
@@ -55,18 +56,21 @@
     let gathering = false;
     let lastTaken = -latest;
     type Roster = ReturnType<Mooring['state']>;
-    let fronts: { of: Roster; live: { id: string; place: string }[] } = { of: undefined, live: [] };
+    let edges: { of: Roster; live: EdgePeer[]; paths: LoadPaths } = {
+      of: undefined,
+      live: [],
+      paths: { row: [], otherRows: [] },
+    };
     /** Made anew only with a new state. */
-    const live = (): { id: string; place: string }[] => {
-      const s = o.mooring.state();
-      if (s !== fronts.of) {
-        const all = s ? Object.values(s.roster) : [];
-        fronts = { of: s, live: all.filter((n) => n.role === 'front' && n.standing !== 'dead') };
-      }
-      return fronts.live;
+    const current = (): typeof edges => {
+      const state = o.mooring.state();
+      if (state === edges.of) return edges;
+      const all = Object.values(state?.roster ?? {});
+      const live = all.filter((n) => n.role === 'front' && n.standing !== 'dead');
+      return (edges = { of: state, live, paths: loadPaths.of(live, me) });
     };
     const pause = (): Us => {
-      const scarce = o.adm().waits() || [...straight.values()].some((h) => waits(h.load));
+      const scarce = o.adm().waits() || [...exchange.received.values()].some((h) => waits(h.load));
       return scarce ? soonestWhileWaiting : soonest;
     };
     const put = (): void => {
@@ -79,12 +83,7 @@
       last = text;
       lastPut = now;
       mark += 1;
-      const others = live().filter((n) => n.id !== me);
-      pipe.tellAll(
-        others.map((n) => n.place),
-        'load',
-        { from: me, mark, load } satisfies Message,
-      );
+      exchange.send({ from: me, mark, load });
       // What is in use is told by itself: it lasts, so it finds its way round a relay that hangs.
       // It is put again now and then, since whoever took this edge for dead has dropped it.
       if (now - lastNews >= newsEvery || load.uses > lastUses) beam.put(`uses/${me}`, load.uses, {});
@@ -94,14 +93,14 @@
       beam.put(`load/${me}`, mark, load);
     };
     /** The newest of each edge, by whichever way it came. */
-    const newest = (): Map<string, Heard> => {
+    const newest = (): Map<string, ReceivedLoad> => {
       const now = clock.now();
-      const all = new Map<string, Heard>();
+      const all = new Map<string, ReceivedLoad>();
       for (const x of beam.all('load/'))
         all.set(x.name.slice(5), { mark: x.item.mark, at: x.item.at, load: x.item.value as EdgeLoad });
-      const known = new Set(live().map((n) => n.id));
-      for (const [id, h] of straight)
-        if (!known.has(id) || now - h.at > forgetAfter) straight.delete(id);
+      const known = new Set(current().live.map((n) => n.id));
+      for (const [id, h] of exchange.received)
+        if (!known.has(id) || now - h.at > forgetAfter) exchange.received.delete(id);
         else if (h.mark >= (all.get(id)?.mark ?? -1)) all.set(id, h);
       all.delete(me);
       return all;
@@ -115,26 +114,26 @@
     const soon = (): void => {
       if (gathering) return;
       gathering = true;
-      clock.tick(gather, () => {
+      clock.tick(current().live.length > directUpTo ? gatherOfMany : gather, () => {
         gathering = false;
         heard();
       });
     };
-    pipe.on<Message>(
-      'load',
-      shape.has({ from: shape.text, mark: shape.whole, load: isLoad }),
-      ({ from, mark: m, load }) => {
-        if (from === me || (straight.get(from)?.mark ?? -1) >= m) return;
-        straight.set(from, { mark: m, at: clock.now(), load });
-        soon();
-      },
-    );
+    const exchange = loadExchange.open({
+      clock,
+      pipe,
+      me,
+      paths: () => current().paths,
+      pause,
+      onReceived: soon,
+    });
     return {
       heard,
       told: (edge, m) => {
-        if (edge !== me && (straight.get(edge)?.mark ?? -1) < m) soon();
+        if (edge !== me && (exchange.received.get(edge)?.mark ?? -1) < m) soon();
       },
-      heardOf: (edge) => Math.max(straight.get(edge)?.at ?? -Infinity, beam.get(`load/${edge}`)?.at ?? -Infinity),
+      heardOf: (edge) =>
+        Math.max(exchange.received.get(edge)?.at ?? -Infinity, beam.get(`load/${edge}`)?.at ?? -Infinity),
       changed: () => {
         if (due) return;
         due = true;
--- a/packages/dissemination/src/index.ts
+++ b/packages/dissemination/src/index.ts
@@ -25,8 +25,23 @@
   close: () => void;
 };
 const isNews = shape.has({ name: shape.text, mark: shape.whole, value: shape.any });
-export type BeamTimes = { arity: number; digest: Us; attach: Us; exchange: Us };
-const times: BeamTimes = { arity: 3, digest: us.ms(700), attach: us.ms(400), exchange: us.ms(250) };
+export type BeamTimes = {
+  arity: number;
+  digest: Us;
+  attach: Us;
+  exchange: Us;
+  /** For how long gathered items are kept back, at each hop. */
+  gather: Us;
+};
+const times: BeamTimes = {
+  arity: 3,
+  digest: us.ms(700),
+  attach: us.ms(400),
+  exchange: us.ms(250),
+  gather: us.ms(200),
+};
+/** With fewer relays each item is passed on by itself, at once. */
+const gatherFrom = 24;
 
 export const tree = {
   near: (relays: Relay[], id: string, arity: number): Relay[] => {
@@ -52,6 +67,8 @@
     sound?: (n: News) => boolean;
     /** Items that are said again and again anyway: they are pushed, and not compared. */
     volatile?: (name: string) => boolean;
+    /** Items that many nodes say often and that may be late: among many relays, several go in one frame. */
+    gathers?: (name: string) => boolean;
     /** For a leaf: the relay it hangs on. */
     attachTo: () => Place | undefined;
     /** Further places to try when the relays do not answer. */
@@ -89,6 +106,34 @@
       const up = o.leaf ? [o.attachTo()].filter((p): p is Place => p !== undefined) : nearRelays();
       return [...new Set([...up, ...leaves.keys()])];
     };
+    /** Gathered items that are still to be passed on, and where each came from. */
+    const gathered = new Map<string, { news: News; from: Place | undefined }>();
+    const passOn = (list: News[], from: Place | undefined): void => {
+      const to = near().filter((p) => p !== from);
+      c.relayed += to.length;
+      pipe.tellAll(to, 'beam.news', list);
+    };
+    const passGathered = (): void => {
+      const all = [...gathered.values()];
+      gathered.clear();
+      for (const to of near()) {
+        const list = all.filter((g) => g.from !== to).map((g) => g.news);
+        if (list.length === 0) continue;
+        c.relayed += 1;
+        pipe.tell(to, 'beam.news', list);
+      }
+    };
+    const gather = (list: News[], from: Place | undefined): void => {
+      if (list.length === 0) return;
+      if (gathered.size === 0) clock.tick(T.gather, passGathered);
+      for (const news of list) gathered.set(news.name, { news, from });
+    };
+    const relayOn = (list: News[], from: Place | undefined): void => {
+      const waits = (n: News): boolean => (o.gathers?.(n.name) ?? false) && o.relays().length >= gatherFrom;
+      const now = list.filter((n) => !waits(n));
+      if (now.length) passOn(now, from);
+      gather(list.filter(waits), from);
+    };
     const take = (list: News[], from: Place | undefined, relay: boolean): void => {
       const fresh = list.filter((n) => {
         const cur = items.get(n.name);
@@ -100,11 +145,7 @@
         return true;
       });
       if (fresh.length === 0) return;
-      if (relay) {
-        const to = near().filter((p) => p !== from);
-        c.relayed += to.length;
-        pipe.tellAll(to, 'beam.news', fresh);
-      }
+      if (relay) relayOn(fresh, from);
       for (const n of fresh) for (const w of watchers) w(n);
     };
     const newerThan = (d: Digest): News[] =>
--- a/packages/load-balancer/src/index.ts
+++ b/packages/load-balancer/src/index.ts
@@ -23,6 +23,36 @@
 export type Load = { running: Record<string, Record<string, number>>; waiting: Record<string, number> };
 export const load = { empty: (): Load => ({ running: {}, waiting: {} }) };
 
+/** What several edges run and want together: added up once for each news of them, not for each turn that looks. */
+type Totals = {
+  /** By worker. */
+  running: Map<string, { running: number; byClass: Map<string, number> }>;
+  /** Running turns by class, at all workers. */
+  byClass: Map<string, number>;
+  /** Waiting turns by class. */
+  waiting: Map<string, number>;
+};
+const addTo = (counts: Map<string, number>, name: string, n: number): void =>
+  void counts.set(name, (counts.get(name) ?? 0) + n);
+const totals = {
+  of: (loads: Load[]): Totals => {
+    const sums: Totals = { running: new Map(), byClass: new Map(), waiting: new Map() };
+    for (const one of loads) {
+      for (const [cls, n] of Object.entries(one.waiting)) addTo(sums.waiting, cls, n);
+      for (const [worker, byClass] of Object.entries(one.running)) {
+        const at = sums.running.get(worker) ?? { running: 0, byClass: new Map<string, number>() };
+        sums.running.set(worker, at);
+        for (const [cls, n] of Object.entries(byClass)) {
+          at.running += n;
+          addTo(at.byClass, cls, n);
+          addTo(sums.byClass, cls, n);
+        }
+      }
+    }
+    return sums;
+  },
+};
+
 type Sums = { slots: number; running: number; byClass: Map<string, number> };
 export type Want = {
   hint?: string | null;
@@ -55,6 +85,8 @@
   entitled: (cls: string) => number;
   /** Turns of a class that wait, at all edges. */
   waiting: (cls: string) => number;
+  /** Turns that run at a worker, at this edge and, as far as it has heard, at the others. */
+  runningAt: (worker: string) => number;
   bad: (worker: string, until: Us) => void;
 };
 
@@ -66,7 +98,7 @@
     let places = new Map<string, number>();
     const bad = new Map<string, Us>();
     const mine = load.empty();
-    let theirs: Load[] = [];
+    let others = totals.of([]);
     const dealt = fair.open({ me, now, lag: newsLag });
     /** Among workers that are equally taken the choice goes round, or all edges would fill the same one. */
     let rounds = 0;
@@ -79,13 +111,13 @@
       Object.entries(config?.classes ?? {}).filter(([, c]) => serviceOf(c) === service);
     const slotsOf = (w: WorkerEntry | undefined): number => w?.slots ?? config?.slots[w?.kind ?? 'model'] ?? 1;
     const runningAt = (worker: string): Sums => {
-      const byClass = new Map<string, number>();
-      let running = 0;
-      for (const l of [mine, ...theirs])
-        for (const [cls, n] of Object.entries(l.running[worker] ?? {})) {
-          byClass.set(cls, (byClass.get(cls) ?? 0) + n);
-          running += n;
-        }
+      const theirs = others.running.get(worker);
+      const byClass = new Map(theirs?.byClass);
+      let running = theirs?.running ?? 0;
+      for (const [cls, n] of Object.entries(mine.running[worker] ?? {})) {
+        byClass.set(cls, (byClass.get(cls) ?? 0) + n);
+        running += n;
+      }
       return { slots: slotsOf(all.get(worker)), running, byClass };
     };
     const usable = (w: WorkerEntry, not?: ReadonlySet<string>): boolean =>
@@ -98,8 +130,8 @@
       return c ? Math.max(1, (total(serviceOf(c)) * c.weight) / weights(serviceOf(c))) : 0;
     };
     const runs = (cls: string): number =>
-      [mine, ...theirs].reduce((a, l) => a + Object.values(l.running).reduce((b, r) => b + (r[cls] ?? 0), 0), 0);
-    const waits = (cls: string): number => [mine, ...theirs].reduce((a, l) => a + (l.waiting[cls] ?? 0), 0);
+      Object.values(mine.running).reduce((sum, byClass) => sum + (byClass[cls] ?? 0), others.byClass.get(cls) ?? 0);
+    const waits = (cls: string): number => (mine.waiting[cls] ?? 0) + (others.waiting.get(cls) ?? 0);
     /** A class above its share gives way while another below its own is waiting: borrowed shares go back first. */
     const mustGiveWay = (cls: string, service: string): boolean => {
       if (runs(cls) < entitled(cls)) return false;
@@ -140,7 +172,7 @@
         config = c;
       },
       siblings: (l) => {
-        theirs = l.map((x) => x.load);
+        others = totals.of(l.map((x) => x.load));
         const busy = l.filter(({ load: x }) => Object.keys(x.running).length + Object.keys(x.waiting).length > 0);
         edges = { all: [me, ...l.map((x) => x.id)].sort(), busy: [me, ...busy.map((x) => x.id)].sort() };
       },
@@ -194,6 +226,7 @@
       list: () => [...all.values()].sort((a, b) => (a.id < b.id ? -1 : 1)),
       entitled,
       waiting: waits,
+      runningAt: (worker) => runningAt(worker).running,
       bad: (worker, until) => void bad.set(worker, until),
     };
   },
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -125,6 +125,7 @@
       admits,
       sound: soundNews,
       volatile: (name) => name.startsWith('load/') || name.startsWith('read/'),
+      gathers: (name) => name.startsWith('load/'),
       attachTo: () => {
         if (!o.beside) return undefined;
         const n = live().find((x) => x.place === o.beside);
--- a/packages/simulation/src/guards.ts
+++ b/packages/simulation/src/guards.ts
@@ -429,6 +429,22 @@
   g("a dead node's news is not taken again", 'news', 'dissemination/src/index.js', '|| !o.admits(n.name)', '', {
     test: 'simulation/test/parts.test.js',
   }),
+  g(
+    "a row's load is passed on to the other rows",
+    'urgent',
+    'data-plane/src/load-exchange.js',
+    'passOn(message);\n            o.onReceived();',
+    'o.onReceived();',
+    { test: 'simulation/test/load.test.js' },
+  ),
+  g(
+    'news of load is gathered among many relays',
+    'urgent',
+    'membership/src/index.js',
+    "gathers: (name) => name.startsWith('load/')",
+    'gathers: () => false',
+    { test: 'simulation/test/load.test.js' },
+  ),
 ];
 
 const root = path.resolve(path.dirname(fileURLToPath(import.meta.url)), '../../..');
--- a/packages/simulation/src/measure-capacity.ts
+++ b/packages/simulation/src/measure-capacity.ts
@@ -305,7 +305,7 @@
     put(
       'load while turns change',
       edges,
-      meanOf(h, 'front', (n) => total(n.tally.sent, (k) => k === 'load').messages / stirred),
+      meanOf(h, 'front', (n) => total(n.tally.sent, (k) => k === 'load' || k === 'loads').messages / stirred),
     );
     h.clear();
     const took = await h.push();
--- /dev/null
+++ b/packages/simulation/test/load.test.ts
@@ -0,0 +1,128 @@
+// How the edges tell each other of load (§3.5): over a grid where there are many, directly where there are few.
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { loadPaths, type EdgePeer } from '@thornsail/data-plane';
+import { invariant, us } from '@thornsail/runtime';
+import { hollow, total, type Hollow, type HollowNode } from '../src/hollow.js';
+
+const peers = (count: number, zones = 3): EdgePeer[] =>
+  Array.from({ length: count }, (_, i) => ({ id: `e${i}`, place: `10.0.0.${i}:1`, zone: `z${i % zones}` }));
+const idAt = (all: EdgePeer[], place: string): string => all.find((p) => p.place === place)!.id;
+
+test('few edges tell each other directly', () => {
+  const all = peers(16);
+  for (const { id } of all) {
+    const paths = loadPaths.of(all, id);
+    assert.is(paths.row.length, 15);
+    assert.equal(paths.otherRows, []);
+  }
+});
+
+test('of many edges each hears of each other one, once, and the messages grow with the root of their number', () => {
+  for (const count of [17, 18, 23, 31, 47, 66, 75, 100, 380]) {
+    const all = peers(count, 4);
+    const paths = new Map(all.map((p) => [p.id, loadPaths.of(all, p.id)]));
+    const rowOf = (id: string): string[] => [id, ...paths.get(id)!.row.map((place) => idAt(all, place))];
+    const heard = new Map<string, string[]>(all.map((p) => [p.id, []]));
+    for (const { id } of all) {
+      for (const place of paths.get(id)!.row) heard.get(idAt(all, place))!.push(id);
+      for (const place of paths.get(id)!.otherRows) heard.get(idAt(all, place))!.push(...rowOf(id));
+      const sent = paths.get(id)!.row.length + paths.get(id)!.otherRows.length;
+      assert.ok(sent <= 2 * Math.ceil(Math.sqrt(count)) + 2, `${sent} messages of ${count} edges`);
+    }
+    for (const [id, from] of heard) {
+      assert.is(new Set(from).size, count - 1, `${id} of ${count} hears of all others`);
+      assert.is(from.length, count - 1, `${id} of ${count} hears of each once`);
+    }
+  }
+});
+
+test('an edge that the roster does not have yet tells all of them', () => {
+  assert.is(loadPaths.of(peers(66), 'newcomer').row.length, 66);
+});
+
+const edges = 24;
+const worker = 'worker-00000';
+const open = async (): Promise<Hollow> => {
+  const h = await hollow.open({ edges, workers: 33 });
+  assert.ok(h);
+  await h!.run(us.s(2));
+  return h!;
+};
+const begin = (n: HollowNode): void =>
+  void n.node!.fairway!.admission.slot('chat', { hint: worker, not: new Set(), force: true, limit: 0 });
+/** Turns that an edge takes to be running at the worker, at all edges. */
+const runningSeenBy = (n: HollowNode): number => n.node!.fairway!.admission.runningAt(worker);
+
+/** How long it takes until all edges know of a turn that begins at one. */
+const untilKnown = async (h: Hollow, at: HollowNode): Promise<number> => {
+  const fronts = h.of('front');
+  const before = runningSeenBy(at);
+  const began = h.w.now();
+  begin(at);
+  assert.ok(await h.until(() => fronts.every((f) => runningSeenBy(f) === before + 1), us.s(2)), 'known everywhere');
+  const took = h.w.now() - began;
+  await h.run(us.s(1));
+  return took;
+};
+
+test('a turn at one of many edges is known at all others within 0.46 s while slots are plenty', async () => {
+  const h = await open();
+  for (const n of [0, 11, 23]) {
+    const took = await untilKnown(h, h.of('front')[n]!);
+    assert.ok(took <= us.ms(460), `known everywhere after ${us.toMs(took)} ms`);
+  }
+  assert.equal(invariant.breaches(), []);
+});
+
+test('while a turn waits at any of many edges it is known within 0.26 s', async () => {
+  const h = await open();
+  const fronts = h.of('front');
+  for (let slot = 0; slot < 24; slot++) begin(fronts[2]!);
+  await h.run(us.s(1));
+  const waiting = fronts[3]!.node!.fairway!.admission;
+  waiting.slot('chat', { hint: null, not: new Set(), force: false, limit: us.s(60) });
+  assert.ok(waiting.waits(), 'a turn waits');
+  await h.run(us.s(2));
+  for (const n of [0, 11, 23]) {
+    const took = await untilKnown(h, fronts[n]!);
+    assert.ok(took <= us.ms(260), `known everywhere after ${us.toMs(took)} ms`);
+  }
+});
+
+test('an edge whose neighbour in the grid is cut off hears by the news, until the roster has ruled', async () => {
+  const h = await open();
+  const fronts = h.of('front');
+  h.kill(fronts[7]!);
+  const left = fronts.filter((n) => n.node !== null);
+  const before = runningSeenBy(left[0]!);
+  begin(left[3]!);
+  const known = (): boolean => left.every((f) => runningSeenBy(f) === before + 1);
+  assert.ok(await h.until(known, us.s(4)), 'known everywhere');
+});
+
+test('at many edges load takes few messages at an edge, at a pilot and at a tower', async () => {
+  const h = await open();
+  const span = 4;
+  h.clear();
+  for (let step = 0; step < span * 10; step++) {
+    if (step % 2 === 0) for (const n of h.of('front')) begin(n);
+    else for (const n of h.of('front')) n.node!.fairway!.admission.leave(worker, 'chat', null);
+    await h.run(us.ms(100));
+  }
+  /** Messages a second at a node of a role, in the mean. */
+  const rate = (role: 'front' | 'pilot' | 'tower', of: 'sent' | 'got', kinds: (k: string) => boolean): number => {
+    const nodes = h.of(role);
+    return nodes.reduce((sum, n) => sum + total(n.tally[of], kinds).messages, 0) / nodes.length / span;
+  };
+  const isLoad = (k: string): boolean => k === 'load' || k === 'loads';
+  const isNews = (k: string): boolean => k === 'news.load';
+  // Told directly they would be 23 to and fro, five times a second.
+  assert.ok(rate('front', 'sent', isLoad) < 60, `${rate('front', 'sent', isLoad)} a second sent`);
+  assert.ok(rate('front', 'got', isLoad) < 60, `${rate('front', 'got', isLoad)} a second received`);
+  // Passed on one by one they are 16 a second at each relay.
+  assert.ok(rate('pilot', 'got', isNews) < 11, `${rate('pilot', 'got', isNews)} a second at a pilot`);
+  assert.ok(rate('tower', 'got', isNews) < 11, `${rate('tower', 'got', isNews)} a second at a tower`);
+});
+
+test.run();
