--- a/packages/data-plane/src/forward/claim.ts
+++ b/packages/data-plane/src/forward/claim.ts
@@ -35,14 +35,16 @@
   return requests.answerError(request, 'outcome_unknown', text, null);
 };
 
-/** Claims the request's key, if it has one. */
+/**
+ * Claims the request's key, if it has one. A claim that could not be kept is followed by no send, and each attempt has
+ * an id of its own: that this one has not run, and will not, may be promised.
+ */
 export const claim = async (request: Request): Promise<Next> => {
   const { edge, plan, stages, bookings, id } = request;
   if (plan.key === null) return 'again';
-  // An old copy that a frozen node still held may have run elsewhere meanwhile: no promise is made.
   if (edge.mooring.stale() && !(await edge.freshen())) {
     stages.go('reject');
-    requests.answerError(request, 'outcome_unknown', 'this node has just woken', null);
+    requests.answerError(request, 'stale', 'this node has just woken', requests.soon(request));
     return 'done';
   }
   const key = keyOf(plan);
@@ -51,11 +53,8 @@
     claimed = await edge.books.claim(key, id, Math.max(leastTime, requests.left(request)));
   } catch (e) {
     requests.log(request, `a claim failed: ${fault.text(e)}.`);
-    stages.go('reject');
-    requests.answerError(request, 'outcome_unknown', 'the claim could not be kept by a majority', null);
-    bookings.closing = true;
-    void edge.books.unclaim(key, id, 0).finally(() => edge.inFlight.delete(id));
-    return 'done';
+    bookings.key = key; // It may have been written: the books free the key if so.
+    return requests.noKeepers(request, 'the claim could not be kept by a majority');
   }
   if (claimed.ok) {
     bookings.key = key;
