--- a/deploy/undici.cjs
+++ b/deploy/undici.cjs
@@ -2,6 +2,7 @@
 // start's processor time and 12 MB (docs/PLATFORM.md).
 module.exports = {
   Client: require('undici/lib/dispatcher/client.js'),
+  buildConnector: require('undici/lib/core/connect.js'),
   Agent: require('undici/lib/dispatcher/agent.js'),
   request: (url, { dispatcher, ...o }) => {
     const u = new URL(url);
--- a/packages/data-plane/src/forward/charge.ts
+++ b/packages/data-plane/src/forward/charge.ts
@@ -6,8 +6,6 @@
 import type { Turn } from './plan.js';
 import { requests, type Next, type Request } from './request.js';
 
-const leastTime = us.ms(50);
-const longestRead = us.s(2);
 /** A turn that waits for room in its budget is refused when so little of its time is left. */
 const leastWait = us.ms(400);
 /** Ballots that a purse sees for each turn of a line at most, mostly: charge and settlement, helpers beside it. */
@@ -21,7 +19,7 @@
   const { plan, context, forwarding } = request;
   if (plan.previous === null) return 'again';
   try {
-    const chain = await forwarding.kept.chain(plan.previous, Math.min(requests.left(request), longestRead));
+    const chain = await forwarding.kept.chain(plan.previous, requests.bookWait(request));
     if (!chain) return requests.reject(request, 'no_such_turn', 'there is no such earlier turn', null);
     context.chain = chain.ids;
     context.elsewhere = !chain.here;
@@ -41,8 +39,8 @@
   return { program: turn.program, budget, keepSeconds: 0, fresh, past };
 };
 const tryCharge = (request: Request, account: Account): Promise<Charged> => {
-  const within = Math.max(leastTime, requests.untilGivenUp(request));
-  return request.edge.books.charge(account, request.id, Math.max(1, request.plan.usage.most), within);
+  const most = Math.max(1, request.plan.usage.most);
+  return request.edge.books.charge(account, request.id, most, requests.bookWait(request));
 };
 const charged = (request: Request, account: Account, turn: Turn, worker: string | null): void => {
   const { edge, bookings, placement } = request;
--- a/packages/data-plane/src/forward/claim.ts
+++ b/packages/data-plane/src/forward/claim.ts
@@ -1,13 +1,11 @@
 // A key's operation, whichever edge it reaches (§5.4): claimed by majority before any wait, repeated from its record.
 import { createHash } from 'node:crypto';
-import { fault, us } from '@thornsail/runtime';
+import { fault } from '@thornsail/runtime';
 import type { Answer, Claimed, Key, Once } from '../books.js';
 import { stillOpen } from '../edge.js';
 import type { Forward } from './plan.js';
 import { requests, type Next, type Request } from './request.js';
 
-const leastTime = us.ms(50);
-
 const keyOf = (plan: Forward): Key => ({
   name: plan.key!,
   sum: createHash('sha256').update(`${plan.method} ${plan.target}\n`).update(plan.body).digest('base64').slice(0, 22),
@@ -50,7 +48,7 @@
   const key = keyOf(plan);
   let claimed: Claimed;
   try {
-    claimed = await edge.books.claim(key, id, Math.max(leastTime, requests.left(request)));
+    claimed = await edge.books.claim(key, id, requests.bookWait(request));
   } catch (e) {
     requests.log(request, `a claim failed: ${fault.text(e)}.`);
     bookings.key = key; // It may have been written: the books free the key if so.
--- a/packages/data-plane/src/forward/request.ts
+++ b/packages/data-plane/src/forward/request.ts
@@ -145,6 +145,13 @@
   return Math.min(untilDeadline, patienceOf(request.plan) - spent(request));
 };
 
+/** What a step of the books takes at least, where it is to succeed at all. */
+const leastBookWait = us.ms(50);
+/** Of the time that is left, so much may go by waiting for the books: another node may serve it in the rest. */
+const bookWaitPart = 0.5;
+/** How long a claim, a charge or a chain may take. */
+const bookWait = (request: Request): Us => Math.max(leastBookWait, untilGivenUp(request) * bookWaitPart);
+
 const log = (request: Request, text: string): void => request.edge.lens.log('fairway')(text);
 
 /** The final answer of a request that is given up, at once (§4.3). `retryAfter` in seconds, or null. */
@@ -214,6 +221,7 @@
   open,
   left,
   untilGivenUp,
+  bookWait,
   log,
   answerError,
   soon,
