--- a/packages/data-plane/src/forward/claim.ts
+++ b/packages/data-plane/src/forward/claim.ts
@@ -1,13 +1,11 @@
 // A key's operation, whichever edge it reaches (§5.4): claimed by majority before any wait, repeated from its record.
 import { createHash } from 'node:crypto';
-import { fault, us } from '@thornsail/runtime';
+import { fault } from '@thornsail/runtime';
 import type { Answer, Claimed, Key, Once } from '../books.js';
 import { stillOpen } from '../edge.js';
 import type { Forward } from './plan.js';
 import { requests, type Next, type Request } from './request.js';
 
-const leastTime = us.ms(50);
-
 const keyOf = (plan: Forward): Key => ({
   name: plan.key!,
   sum: createHash('sha256').update(`${plan.method} ${plan.target}\n`).update(plan.body).digest('base64').slice(0, 22),
@@ -35,27 +33,26 @@
   return requests.answerError(request, 'outcome_unknown', text, null);
 };
 
-/** Claims the request's key, if it has one. */
+/**
+ * Claims the request's key, if it has one. A claim that could not be kept is followed by no send, and each attempt has
+ * an id of its own: that this one has not run, and will not, may be promised.
+ */
 export const claim = async (request: Request): Promise<Next> => {
   const { edge, plan, stages, bookings, id } = request;
   if (plan.key === null) return 'again';
-  // An old copy that a frozen node still held may have run elsewhere meanwhile: no promise is made.
   if (edge.mooring.stale() && !(await edge.freshen())) {
     stages.go('reject');
-    requests.answerError(request, 'outcome_unknown', 'this node has just woken', null);
+    requests.answerError(request, 'stale', 'this node has just woken', requests.soon(request));
     return 'done';
   }
   const key = keyOf(plan);
   let claimed: Claimed;
   try {
-    claimed = await edge.books.claim(key, id, Math.max(leastTime, requests.left(request)));
+    claimed = await edge.books.claim(key, id, requests.bookWait(request));
   } catch (e) {
     requests.log(request, `a claim failed: ${fault.text(e)}.`);
-    stages.go('reject');
-    requests.answerError(request, 'outcome_unknown', 'the claim could not be kept by a majority', null);
-    bookings.closing = true;
-    void edge.books.unclaim(key, id, 0).finally(() => edge.inFlight.delete(id));
-    return 'done';
+    bookings.key = key; // It may have been written: the books free the key if so.
+    return requests.noKeepers(request, 'the claim could not be kept by a majority');
   }
   if (claimed.ok) {
     bookings.key = key;
