--- a/packages/durable-files/test/power-loss.test.ts
+++ b/packages/durable-files/test/power-loss.test.ts
@@ -20,7 +20,10 @@
 const step = 5;
 type Folder = Map<string, string>;
 /** What a life leaves: its files, and after the end of a mere process what a later loss of power may bring back. */
-type Left = { files: Folder; killed?: Pick<DiskState, 'unsyncedNames' | 'unsyncedBytes'> };
+type Left = {
+  files: Folder;
+  killed?: Pick<DiskState, 'unsyncedNames' | 'nameChanges' | 'changeCount' | 'unsyncedBytes'>;
+};
 /** Which versions each record or document may have; 0 is "none". */
 type Allowed = Map<string, number[]>;
 type Action =
@@ -46,6 +49,8 @@
 };
 const copyOfUnsynced = (of: NonNullable<Left['killed']>): NonNullable<Left['killed']> => ({
   unsyncedNames: new Map([...of.unsyncedNames].map(([name, former]) => [name, [...former]])),
+  nameChanges: new Map(of.nameChanges),
+  changeCount: of.changeCount,
   unsyncedBytes: new Map(of.unsyncedBytes),
 });
 const openNode = async (node: Node): Promise<void> => {
--- a/packages/simulation/src/disk.ts
+++ b/packages/simulation/src/disk.ts
@@ -15,6 +15,9 @@
   fail: { write: number; sync: number; rename: number; read: number };
   /** Names made, renamed or removed since a sync of the folder: what a loss of power may bring back in their place. */
   unsyncedNames: Map<string, Content[]>;
+  /** The same changes of names by their numbers, in their order. */
+  nameChanges: Map<number, string>;
+  changeCount: number;
   /** Files written since their last sync: what that sync covered. */
   unsyncedBytes: Map<string, Content>;
   /** When the syncs that were asked for are over. */
@@ -38,6 +41,8 @@
   full: false,
   fail: { write: 0, sync: 0, rename: 0, read: 0 },
   unsyncedNames: new Map(),
+  nameChanges: new Map(),
+  changeCount: 0,
   unsyncedBytes: new Map(),
   busyUntil: 0,
 });
@@ -52,7 +57,9 @@
 /** Changes what a name stands for; until the folder is synced a loss of power may undo it. */
 const changeName = (host: DiskHost, name: string, text: Content): void => {
   const former = host.disk.unsyncedNames.get(name) ?? [];
-  host.disk.unsyncedNames.set(name, [...former, host.files.get(name)]);
+  former.push(host.files.get(name));
+  host.disk.unsyncedNames.set(name, former);
+  host.disk.nameChanges.set(++host.disk.changeCount, name);
   setFile(host, name, text);
 };
 const changeBytes = (host: DiskHost, name: string, text: string): void => {
@@ -114,6 +121,7 @@
   if (how === 'power') loseUnsynced(rand, host);
   else host.files.clear();
   host.disk.unsyncedNames.clear();
+  host.disk.nameChanges.clear();
   host.disk.unsyncedBytes.clear();
 };
 
@@ -137,12 +145,14 @@
     if (rand.next() < disk.fail.sync) throw failure('EIO');
   };
   const syncFolder = async (): Promise<void> => {
-    const covered = new Map([...disk.unsyncedNames].map(([name, former]) => [name, former.length]));
+    const covered = disk.changeCount;
     await sync();
-    for (const [name, count] of covered) {
-      const since = disk.unsyncedNames.get(name)?.slice(count) ?? [];
-      if (since.length > 0) disk.unsyncedNames.set(name, since);
-      else disk.unsyncedNames.delete(name);
+    for (const [change, name] of disk.nameChanges) {
+      if (change > covered) break;
+      disk.nameChanges.delete(change);
+      const former = disk.unsyncedNames.get(name)!;
+      former.shift();
+      if (former.length === 0) disk.unsyncedNames.delete(name);
     }
   };
   const syncFile = async (name: string): Promise<void> => {
