A leader whose disk hangs hands over, and tells the others

Cause: a leader waits for its own disk before it sends, and sends no beats meanwhile.

Mended: a write of the state that takes longer than 0.8 s (three times the last one, 1.5 s at most) makes the leader give up; the others are told (view.resign) and elect at once, in their order. The proposals get "outcome unknown": the write may be taken up from that disk.

Ruled out: a limit of 0.4 s.

--- a/packages/consensus/src/views.ts
+++ b/packages/consensus/src/views.ts
@@ -5,6 +5,7 @@
 import { fault, invariant, lock, place, time, us, type Lens, type Place, type Us } from '@thornsail/runtime';
 import { logbook, type Logbook } from '@thornsail/durable-files';
 import { shape, type Pipe } from '@thornsail/rpc';
+import { writeLimit } from './write-limit.js';
 
 export type Member = { id: string; at: Place };
 export type Marked<S> = { view: number; seq: number; members: Member[]; state: S };
@@ -78,6 +79,7 @@
     const T = { ...times, ...o.times };
     const log = lens.log('tower');
     const short = lock.one();
+    const ownDisk = writeLimit.open(clock);
     const machine = interpret(standingMachine, () => log(`standing is ${standing()}.`));
     const standing = (): Standing => machine.machine.current as Standing;
 
@@ -122,7 +124,7 @@
         !accepted || newer(v, accepted),
         `accepted ${v.view}.${v.seq} over ${accepted?.view}.${accepted?.seq}`,
       );
-      await book.write('state', ++fileMark, v);
+      await ownDisk.timed(book.write('state', ++fileMark, v));
       promised = Math.max(promised, v.view);
       accepted = v;
       if (standing() === 'unformed') step('formed');
@@ -171,6 +173,19 @@
           return { ok: true, view: promised, seq: acc.view === view ? acc.seq : -1 };
         }),
     );
+    pipe.on<{ to: string; view: number }>(
+      'view.resign',
+      shape.has({ to: shape.text, view: shape.whole }),
+      ({ to, view }, from) => {
+        if (to !== id || view !== promised || head !== from || standing() !== 'follow') return { ok: false };
+        head = undefined;
+        heardAt = clock.now() - T.silent;
+        // One after the other, so that they don't stand in each other's way.
+        const rank = Math.max(0, accepted?.members.findIndex((m) => m.id === id) ?? 0);
+        patience = T.silent + rank * T.beat;
+        return { ok: true };
+      },
+    );
     pipe.on<{ view: number }>('view.canvass', shape.has({ view: shape.whole }), ({ view }) => ({
       ok: standing() !== 'unformed' && view > promised && standing() !== 'lead' && clock.now() - heardAt >= T.silent,
       view: promised,
@@ -214,6 +229,15 @@
       buffer = [];
       for (const j of left) j.fail(fault.make({ step: 'view.propose', code: 'moved' }, 'not the head any more'));
     };
+    /** Gives up the lead, and tells the others, so that they need not wait for its silence. */
+    const resign = (why: string): void => {
+      const members = accepted ? others(accepted) : [];
+      const view = promised;
+      loseLead(why);
+      head = undefined;
+      for (const m of members)
+        void pipe.ask(m.at, 'view.resign', { to: m.id, view }, us.ms(300)).catch(() => undefined);
+    };
     const others = (v: Marked<S>): Member[] => v.members.filter((m) => m.id !== id);
     const count = (v: Marked<S>, ids: Set<string>): boolean =>
       v.members.filter((m) => ids.has(m.id)).length >= majority(v.members.length);
@@ -288,11 +312,19 @@
               results.push(() => undefined);
             }
           }
-          const ok = await unlessFull(async () => {
-            if (standing() !== 'lead' || promised !== cur.view) return false;
-            await accept(cur);
-            return true;
-          });
+          const ok = await ownDisk.within(
+            unlessFull(async () => {
+              if (standing() !== 'lead' || promised !== cur.view) return false;
+              await accept(cur);
+              return true;
+            }),
+          );
+          if (ok === 'late') {
+            // It may be on this disk one day, and be taken up from there.
+            for (const j of jobs) j.fail(fault.make({ step: 'view.propose', code: 'unknown' }, 'outcome unknown'));
+            resign('its disk does not answer');
+            continue;
+          }
           // Nothing has gone out yet; another member may have room.
           if (!ok && standing() === 'lead') loseLead('its state could not be written');
           if (!ok) {
--- a/packages/simulation/src/guards.ts
+++ b/packages/simulation/src/guards.ts
@@ -378,6 +378,9 @@
     '',
     { test: 'durable-files/test/batches.test.js' },
   ),
+  g('a leader whose disk hangs hands over', '9 durable', 'consensus/src/views.js', 'await ownDisk.within(', 'await (', {
+    test: 'simulation/test/disk-trouble.test.js',
+  }),
   g(
     'a damaged batch is not passed over',
     '9 durable',
