--- a/packages/durable-files/src/batches.ts
+++ b/packages/durable-files/src/batches.ts
@@ -1,5 +1,6 @@
 // Records by key (§6.1): all changes that wait while a sync is under way go together into one file, a batch, with one
-// sync. Batches are numbered without a gap, in files made before (reserve.ts); base files hold what is left of older ones.
+// sync. Batches are numbered without a gap, in files made before (reserve.ts); base files hold what is left of older
+// ones.
 import { fault } from '@thornsail/runtime';
 import { format, type BaseHead, type Extent, type Kind, type Line } from './format.js';
 import type { Logbook } from './index.js';
--- a/packages/durable-files/src/merge.ts
+++ b/packages/durable-files/src/merge.ts
@@ -9,7 +9,7 @@
   pieceBytes: number;
   /** Bytes on disk beyond twice the live ones. */
   slackBytes: number;
-  /** Names of batch files that are made with one sync of the folder. */
+  /** Names of batch files that are made with one sync of the folder; never less than a release before made. */
   reservedFiles: number;
 };
 export const usualLimits: Limits = {
--- a/packages/durable-files/test/growth.test.ts
+++ b/packages/durable-files/test/growth.test.ts
@@ -64,7 +64,7 @@
     o = r.open;
   }
   const live = o.records.counts().live;
-  console.log(`registers: ${JSON.stringify(sizes)}, ${live} bytes live`);
+  process.stdout.write(`registers: ${JSON.stringify(sizes)}, ${live} bytes live\n`);
   for (const size of sizes) {
     assert.ok(size.bytes <= 2 * live + usualLimits.slackBytes + usualLimits.pieceBytes, JSON.stringify(size));
     assert.ok(size.files <= usualLimits.batchFiles + 2 * usualLimits.reservedFiles + 40, JSON.stringify(size));
@@ -85,7 +85,7 @@
     sizes.push(r.size);
     o = r.open;
   }
-  console.log(`documents: ${JSON.stringify(sizes)}`);
+  process.stdout.write(`documents: ${JSON.stringify(sizes)}\n`);
   // A removed version may come back at a loss of power; the next change removes it again.
   for (const size of sizes) assert.ok(size.files <= 2 && size.start < us.ms(10), JSON.stringify(size));
 });
--- a/packages/durable-files/test/power-loss.test.ts
+++ b/packages/durable-files/test/power-loss.test.ts
@@ -131,7 +131,7 @@
 };
 
 type Search = { seen: Set<string>; restarts: number; problems: string[]; choose: (all: Left[]) => Left[] };
-/** Starts from a folder and checks it, then plays the first life's actions; its end at any step goes on to the rest. */
+/** Starts from a folder and checks it, then plays a life's actions; its end at any step goes on to the other lives. */
 const explore = async (search: Search, left: Left, before: Allowed, lives: Action[][]): Promise<void> => {
   const key = `${lives.length} ${leftKey(left, before)}`;
   if (search.seen.has(key) || search.problems.length > 5) return;
@@ -187,7 +187,7 @@
   write('a'),
   write('e'),
 ];
-test('every state that one loss of power, or the end of the process, may leave holds what was acknowledged', async () => {
+test('every state that one loss of power or a killed process may leave holds what was acknowledged', async () => {
   const search = newSearch();
   await explore(search, { files: new Map() }, new Map(), [history]);
   assert.equal(search.problems, []);
@@ -267,7 +267,7 @@
   await watched(again, new Map(), openNode(again), async () => undefined);
   assert.is(again.sound, false);
 });
-test('a loss of power at any step while a damaged folder is emptied leaves nothing that is taken for sound', async () => {
+test('a loss of power while a damaged folder is emptied never leaves one that is taken for sound', async () => {
   const folder = await settled([putDocument('identity'), write('a'), write('b'), write('c')]);
   const second = [...folder.keys()].filter(isBatch).sort()[1]!;
   folder.set(second, 'damaged');
--- a/packages/runtime/test/disk.test.ts
+++ b/packages/runtime/test/disk.test.ts
@@ -119,7 +119,7 @@
   const sound = await logbook.sound(book, () => undefined, undefined, records.load);
   return { records, at, stopped: () => stopped, sound };
 };
-test('a batch takes one sync of its file; the folder is synced before its name is used, for many names at once', async () => {
+test('a batch takes one sync of its file; the folder is synced before its name is used, for many at once', async () => {
   const seen: Step[] = [];
   const dir = folder();
   const b = await recordsOf(dir, failing({ step: 'none', code: '' }, seen));
--- a/packages/simulation/test/disk-trouble.test.ts
+++ b/packages/simulation/test/disk-trouble.test.ts
@@ -76,7 +76,7 @@
     const newest = g.members.map((m) => m.views!.done()!.seq);
     assert.is(Math.max(...newest) - Math.min(...newest), 0, newest.join());
   }
-  console.log(`longest time without an acknowledgement: ${worst / 1000} ms`);
+  process.stdout.write(`longest time without an acknowledgement: ${worst / 1000} ms\n`);
 });
 test('a follower whose disk hangs is not noticed by callers', async () => {
   for (let seed = 1; seed <= 10; seed++) {
