--- a/packages/consensus/src/actions.ts
+++ b/packages/consensus/src/actions.ts
@@ -26,7 +26,7 @@
 /** Nothing that rests on the write is done before it is synced: `continuation` says what is. */
 const write = <S>(step: Step<S>, effect: WriteEffect<S>, continuation: Continuation<S>): void => {
   invariant.hold(step.state.writing === undefined, 'two writes of a replica at once');
-  step.state.writing = { write: effect, continuation };
+  step.state.writing = { write: effect, continuation, startedAt: step.now };
   step.effects.push(effect);
 };
 export const writeTerm = <S>(step: Step<S>, term: number, continuation: Continuation<S>): void =>
--- a/packages/consensus/src/follower.ts
+++ b/packages/consensus/src/follower.ts
@@ -123,9 +123,24 @@
   if (call !== null) step.effects.push({ type: 'reply', call, reply: { kind: 'form', ok: true } });
 };
 
+/** The leader gives up: the members ask for the lead at once, one after another in their order. */
+const onResign = <S>(step: Step<S>, { call, from, message }: Request<S, 'resign'>): void => {
+  const { state } = step;
+  const ok =
+    message.to === state.id && message.term === state.term && state.leader === from && state.role === 'follower';
+  if (ok) {
+    const { electionTimeout, heartbeat } = state.timing;
+    const rank = state.accepted?.members.findIndex((member) => member.id === state.id) ?? 0;
+    state.leader = undefined;
+    state.heardAt = step.now - electionTimeout;
+    state.electionDelay = electionTimeout + Math.max(0, rank) * heartbeat;
+  }
+  step.effects.push({ type: 'reply', call, reply: { kind: 'resign', ok } });
+};
+
 /** Answers that rest on what is on the disk wait for the write under way; the others do not. */
 export const needsDisk = <S>(event: Event<S>): boolean =>
-  event.type === 'request' && event.message.kind !== 'pre-vote' && event.message.kind !== 'discover';
+  event.type === 'request' && !['pre-vote', 'discover', 'resign'].includes(event.message.kind);
 
 export const onRequest = <S>(step: Step<S>, event: Event<S> & { type: 'request' }): void => {
   const { call, from, message } = event;
@@ -140,6 +155,8 @@
       return onVote(step, { call, from, message });
     case 'form':
       return formGroup(step, call, message);
+    case 'resign':
+      return onResign(step, { call, from, message });
     case 'discover': {
       const { id, accepted } = step.state;
       step.effects.push({ type: 'reply', call, reply: { kind: 'discover', id, formed: accepted !== undefined } });
--- a/packages/consensus/src/leader.ts
+++ b/packages/consensus/src/leader.ts
@@ -1,6 +1,7 @@
 // The leader (§3.3): replicates one version at a time, confirms itself by heartbeats, answers reads, and steps down.
 import { invariant } from '@thornsail/runtime';
 import { commit, log, otherMembers, send, writeSnapshot } from './actions.js';
+import { ownWriteLimit } from './own-write-limit.js';
 import { hasQuorum, membersChanged } from './quorum.js';
 import { changeRole } from './role.js';
 import type { AppendReply, Batch, HeartbeatReply, HeartbeatRound, Member, Outstanding } from './types.js';
@@ -38,6 +39,22 @@
   state.rounds.clear();
 };
 
+/** Gives up the lead and tells the followers, so that they need not wait for its silence. */
+export const resign = <S>(step: Step<S>, reason: string): void => {
+  const { state } = step;
+  const followers = otherMembers(step, state.accepted?.members ?? []);
+  stepDown(step, reason);
+  for (const { id, at } of followers)
+    send(step, at, { kind: 'resign', to: id, term: state.term }, state.timing.requestTimeout, { kind: 'resign' });
+};
+
+/** A leader whose own disk takes too long hands over; its version may still be taken up from that disk. */
+export const checkOwnWrite = <S>(step: Step<S>): void => {
+  const { writing, lastWriteTook } = step.state;
+  if (writing?.continuation.kind !== 'replicate' || step.state.role !== 'leader') return;
+  if (step.now - writing.startedAt > ownWriteLimit(lastWriteTook)) resign(step, 'its disk does not answer');
+};
+
 /** Another member has promised a higher term. It may be a lone one, so this member asks for the lead again at once. */
 const yieldTo = <S>(step: Step<S>, term: number): void => {
   stepDown(step, `another member has promised term ${term}`);
@@ -114,6 +131,7 @@
   if (committed?.term !== state.term || committed.index !== accepted.index) return;
   const batch = takeBatch(step, accepted);
   writeSnapshot(step, batch.snapshot, { kind: 'replicate', batch });
+  step.effects.push({ type: 'timer', after: ownWriteLimit(state.lastWriteTook) + 1, event: { type: 'tick' } });
 };
 
 export const propose = <S>(step: Step<S>, proposal: Proposal<S>): void => {
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -6,8 +6,8 @@
 import { requestVotes, startElection, takeOver } from './election.js';
 import { needsDisk, onMemberWritten, onRequest } from './follower.js';
 import { discover, onDiscoverReply } from './founding.js';
-import { checkReplication, onAppendReply, onHeartbeatDue, onHeartbeatReply, propose } from './leader.js';
-import { readCommitted, replicate, retryAppend, startReplication, stepDown } from './leader.js';
+import { checkOwnWrite, checkReplication, onAppendReply, onHeartbeatDue, onHeartbeatReply, propose } from './leader.js';
+import { readCommitted, replicate, resign, retryAppend, startReplication, stepDown } from './leader.js';
 import type { Continuation, Effect, Event, ReplicaState, ReplyMessage, Snapshot, Step, Timing } from './types.js';
 
 export const defaultTiming: Timing = {
@@ -48,6 +48,7 @@
     restarted: accepted !== undefined,
     electionDelay: 0,
     removed: false,
+    lastWriteTook: 0,
     deferred: [],
     nextRequest: 1,
     outstanding: new Map(),
@@ -67,6 +68,7 @@
 const onTick = <S>(step: Step<S>): void => {
   const { state } = step;
   checkReplication(step);
+  checkOwnWrite(step);
   if (state.role === 'unformed') discover(step);
   else if (state.role === 'follower' && !state.election && step.now - state.heardAt > state.electionDelay) {
     state.electionDelay = electionDelay(state, step.now, step.random);
@@ -96,6 +98,7 @@
     case 'discover':
       return onDiscoverReply(step, request.at, replyOf(reply, 'discover'));
     case 'form':
+    case 'resign':
   }
 };
 
@@ -112,6 +115,7 @@
   const { writing } = step.state;
   if (!writing) return;
   step.state.writing = undefined;
+  if (writing.write.document === 'snapshot') step.state.lastWriteTook = step.now - writing.startedAt;
   applyWritten(step, writing.write);
   goOn(step, writing.continuation);
 };
@@ -125,7 +129,7 @@
     const code = unchanged ? 'moved' : 'unknown';
     for (const { proposal } of continuation.batch.outcomes)
       step.effects.push({ type: 'proposal-outcome', proposal, outcome: { ok: false, code } });
-    stepDown(step, 'its state could not be written');
+    resign(step, 'its state could not be written');
   } else if (continuation.kind === 'request-votes' || continuation.kind === 'take-over') onElectionWriteFailed(step);
   else if ('call' in continuation && continuation.call !== null)
     step.effects.push({ type: 'refuse', call: continuation.call });
--- a/packages/consensus/src/types.ts
+++ b/packages/consensus/src/types.ts
@@ -32,14 +32,18 @@
   | { kind: 'pre-vote'; term: number }
   | { kind: 'vote'; to: string; term: number }
   | { kind: 'discover' }
-  | { kind: 'form'; members: Member[] };
+  | { kind: 'form'; members: Member[] }
+  /** A leader that gives up asks its followers not to wait for its silence. */
+  | { kind: 'resign'; to: string; term: number };
 export type AppendReply = { kind: 'append'; ok: boolean; term: number; index: number };
 export type HeartbeatReply = { kind: 'heartbeat'; ok: boolean; term: number; index: number };
 export type PreVoteReply = { kind: 'pre-vote'; ok: boolean; term: number; unformed: boolean };
 export type VoteReply<S> = { kind: 'vote'; ok: boolean; term: number; accepted?: Snapshot<S> };
 export type DiscoverReply = { kind: 'discover'; id: string; formed: boolean };
 export type FormReply = { kind: 'form'; ok: boolean };
-export type ReplyMessage<S> = AppendReply | HeartbeatReply | PreVoteReply | VoteReply<S> | DiscoverReply | FormReply;
+export type ResignReply = { kind: 'resign'; ok: boolean };
+export type ReplyMessage<S> =
+  AppendReply | HeartbeatReply | PreVoteReply | VoteReply<S> | DiscoverReply | FormReply | ResignReply;
 
 /** `moved` was not taken; `unknown` may have been; `failed` is the change's own error, and it was not taken. */
 export type ProposalOutcome =
@@ -98,7 +102,8 @@
   | { kind: 'pre-vote'; member: Member; election: number }
   | { kind: 'vote'; member: Member; election: number }
   | { kind: 'discover'; at: Place }
-  | { kind: 'form' };
+  | { kind: 'form' }
+  | { kind: 'resign' };
 export type HeartbeatRound<S> = {
   term: number;
   startedAt: Us;
@@ -140,7 +145,9 @@
   electionDelay: Us;
   /** A newer version without this member was seen: until a leader is heard it starts no more elections. */
   removed: boolean;
-  writing?: { write: WriteEffect<S>; continuation: Continuation<S> };
+  writing?: { write: WriteEffect<S>; continuation: Continuation<S>; startedAt: Us };
+  /** How long the last snapshot took to be written. */
+  lastWriteTook: Us;
   /** Events that need the disk, in their order, while a write is under way. */
   deferred: Event<S>[];
   nextRequest: number;
--- a/packages/consensus/src/wire.ts
+++ b/packages/consensus/src/wire.ts
@@ -36,6 +36,7 @@
   vote: 'view.stop',
   discover: 'view.found',
   form: 'view.form',
+  resign: 'view.resign',
 };
 
 type AppendBody<S> = { to: string; v: Marked<S>; doneSeq: number };
@@ -52,6 +53,7 @@
   vote: shape.has({ to: shape.text, view: shape.whole }),
   discover: shape.any,
   form: shape.has({ members: isMembers }),
+  resign: shape.has({ to: shape.text, view: shape.whole }),
 });
 
 export const encodeRequest = <S>(message: RequestMessage<S>): unknown => {
@@ -63,6 +65,7 @@
     case 'pre-vote':
       return { view: message.term };
     case 'vote':
+    case 'resign':
       return { to: message.to, view: message.term };
     case 'discover':
       return {};
@@ -83,7 +86,8 @@
     }
     case 'pre-vote':
       return { kind, term: (body as { view: number }).view };
-    case 'vote': {
+    case 'vote':
+    case 'resign': {
       const { to, view } = body as { to: string; view: number };
       return { kind, to, term: view };
     }
@@ -108,6 +112,7 @@
     case 'discover':
       return { id: reply.id, formed: reply.formed };
     case 'form':
+    case 'resign':
       return { ok: reply.ok };
   }
 };
--- a/packages/simulation/src/guards.ts
+++ b/packages/simulation/src/guards.ts
@@ -385,6 +385,14 @@
     '',
     { test: 'durable-files/test/batches.test.js' },
   ),
+  g(
+    'a leader whose disk hangs hands over',
+    '9 durable',
+    'consensus/src/leader.js',
+    "resign(step, 'its disk does not answer');",
+    '',
+    { test: 'simulation/test/disk-trouble.test.js' },
+  ),
   g(
     'a damaged batch is not passed over',
     '9 durable',
