--- a/packages/consensus/src/groups.ts
+++ b/packages/consensus/src/groups.ts
@@ -3,7 +3,7 @@
 import type { Ordered } from './order.js';
 import type { Member } from './views.js';
 
-/** `swept` is the newest mark under which every record was found on a majority; `draining` names those asked to leave. */
+/** `swept`: the newest mark under which every record was on a majority; `draining`: those asked to leave. */
 export type KeeperGroup = { mark: number; members: Member[]; swept: number; draining: string[] };
 export type GroupChange = { add: Member } | { remove: string };
 type Outcome = { state: Ordered; result: boolean };
--- a/packages/consensus/src/repair.ts
+++ b/packages/consensus/src/repair.ts
@@ -1,10 +1,10 @@
-// What a group of replicas needs next (§3.3, §6.5): a pure decision, the same for coordinators and for keepers. It sees
-// the members with their conditions and the spares, and gives one change of one member, or none.
+// What a group of replicas needs next (§3.3, §6.5): a pure decision, the same for coordinators and for keepers. It
+// sees the members with their conditions and the spares, and gives one change of one member, or none.
 
 /**
  * `serving` may be asked; `leaving` serves, and is to be replaced; `silent` does not answer, and may come back with its
- * disk; `overdue` has been silent for so long that a spare takes its place; `gone` never comes back: another identity is
- * at its address.
+ * disk; `overdue` has been silent for so long that a spare takes its place; `gone` never comes back: another identity
+ * is at its address.
  */
 export type Condition = 'serving' | 'leaving' | 'silent' | 'overdue' | 'gone';
 export type ReplicaMember = { id: string; condition: Condition };
@@ -33,8 +33,8 @@
 /** An even group gains by getting smaller: it bears as many losses with a smaller majority. */
 const isEven = (g: ReplicaGroup): boolean => g.members.length % 2 === 0;
 /**
- * One that may come back is removed only where a spare can take its place, or where the group bears more without it, and
- * the others can complete the change.
+ * One that may come back is removed only where a spare can take its place, or where the group bears more without it,
+ * and the others can complete the change.
  */
 const removeOverdue = (g: ReplicaGroup): RepairStep | undefined => {
   const overdue = g.members.find((m) => m.condition === 'overdue');
--- a/packages/consensus/test/repair-model.test.ts
+++ b/packages/consensus/test/repair-model.test.ts
@@ -1,5 +1,5 @@
-// Every order of events in small groups (§3.3, §6.5): members lost with and without their disks, returns, replacements at
-// another address, one that is retired, spares, leaders lost; against the decisions of repair. In each state that is
+// Every order of events in small groups (§3.3, §6.5): members lost with and without their disks, returns, replacements
+// at another address, one that is retired, spares, leaders lost; against the decisions of repair. In each state that is
 // reached there is a quorum, and an acknowledged record is met by every majority that can answer.
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
@@ -189,7 +189,11 @@
 };
 const textOf = (w: World): string => {
   const one = (x: Identity): string =>
-    `${x.state}${x.late ? ' late' : ''}${x.holds ? ' holds' : ''}${x.member ? ' member' : ''}${x.draining ? ' leaving' : ''}${x.lost === 'no' ? '' : ` ${x.lost}`}`;
+    [
+      x.state,
+      ...(['late', 'holds', 'member', 'draining'] as const).filter((name) => x[name]),
+      ...(x.lost === 'no' ? [] : [x.lost]),
+    ].join(' ');
   return `[${w.all.map(one).join(', ')}]${w.settled ? '' : ' unsettled'}`;
 };
 const walk = (c: Case): { states: number; faults: string[] } => {
@@ -267,7 +271,7 @@
   assert.is(nextOf(group(['overdue', 'serving', 'serving', 'serving'], { size: 5 })), 'remove m0');
   assert.is(nextOf(group(['serving', 'serving', 'serving'], { size: 5 })), 'add new');
 });
-test('one that may come back stays while there is nobody to take its place, and while its removal could not be completed', () => {
+test('one that may come back stays while there is no spare, and while its removal could not be completed', () => {
   assert.is(nextOf(group(['silent', 'serving', 'serving'])), 'nothing');
   assert.is(nextOf(group(['overdue', 'serving', 'serving'], { spares: [] })), 'nothing');
   assert.is(nextOf(group(['overdue', 'silent', 'serving'])), 'nothing');
--- a/packages/register-store/src/sweep.ts
+++ b/packages/register-store/src/sweep.ts
@@ -146,7 +146,7 @@
     if (o.all) return !here.some((d) => here.filter((x) => x === d).length >= need);
     return here.some((d) => d !== here[0]);
   });
-/** The copies by key, and up to which key they were listed: keys beyond the shortest full page are left for the next. */
+/** The copies by key, and up to which key they go: keys beyond the shortest full page are left for the next. */
 const copiesByKey = (pages: Member<Page>[]): { copies: [string, Found[]][]; end: string | null } => {
   const ends = pages.map((p) => p.reply.next).filter((n): n is string => n !== null);
   const end = ends.length ? ends.reduce((a, b) => (a < b ? a : b)) : null;
--- a/packages/simulation/src/repair-run.ts
+++ b/packages/simulation/src/repair-run.ts
@@ -36,9 +36,9 @@
   log?: (line: string) => void;
 };
 export type RepairReport = {
-  /** Acknowledged registers and changes of configuration that were not read back, invariants broken, groups not full. */
+  /** Acknowledged registers and configurations that were not read back, invariants broken, groups not full. */
   breaches: string[];
-  /** For each loss: microseconds from the start of the newcomers until the group is full and swept; Infinity if never. */
+  /** For each loss: microseconds from the newcomers' start until the group is full and swept; Infinity if never. */
   fullAfter: Us[];
   acknowledged: number;
 };
--- a/packages/thornsail/src/roles.ts
+++ b/packages/thornsail/src/roles.ts
@@ -32,7 +32,7 @@
   fairway?: Fairway;
 };
 const operatorBody = 1 << 20;
-/** Where there are so many coordinators all of them vote: a loss right after a loss is borne without any repair (§3.3). */
+/** Where there are so many coordinators, all vote: a loss right after a loss is borne without any repair (§3.3). */
 const usualTowers = 5;
 
 type DiskWatch = { failed: (e: Error) => void; onFailed: Node['onFailed'] };
--- a/packages/thornsail/src/sweep-duty.ts
+++ b/packages/thornsail/src/sweep-duty.ts
@@ -1,6 +1,6 @@
 // When a keeper sweeps (§6.5). Now and then one keeper does, by a lease. After a change of group the first member that
-// lives does at once, without a lease: the lease may be with the very keeper that was lost, and two sweeps at once do no
-// harm, as every key is settled by a ballot.
+// lives does at once, without a lease: the lease may be with the very keeper that was lost, and two sweeps at once do
+// no harm, as every key is settled by a ballot.
 import { time, us, type Lens, type Place, type Us } from '@thornsail/runtime';
 import { watch } from '@thornsail/leases';
 import type { Mooring } from '@thornsail/membership';
