--- a/packages/simulation/src/measure-capacity.ts
+++ b/packages/simulation/src/measure-capacity.ts
@@ -31,6 +31,7 @@
 } from '@thornsail/consensus';
 import { fit, type Fit, type Point, type Shape } from './fit.js';
 import { hollow, hollowConfig, total, workerList, type Hollow, type RealUse } from './hollow.js';
+import { keeperAt } from './measure-registers.js';
 import { world, type World } from './world.js';
 
 export type Mark = 'measured' | 'simulated' | 'reckoned';
@@ -831,13 +832,13 @@
 type Usage = { cpu: { user: number; system: number } };
 const keeping: Part = async (sizes) => {
   const folder = mkdtempSync(path.join(tmpdir(), 'thornsail-capacity-'));
-  const at = '127.0.77.11:7101';
+  const at = keeperAt(11);
   const args = [path.join(here, 'registers-cli.js'), '--keeper', '11', path.join(folder, 'k')];
   const c = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'ignore'] });
   try {
     await new Promise((up) => c.stdout.once('data', up));
     const lens = real.lens(folder);
-    const p = await pipe.open(lens, '127.0.77.19:7101');
+    const p = await pipe.open(lens, keeperAt(19));
     const group: Group = { mark: 1, members: [{ id: 'k11', at }] };
     const regs = registers.open({ lens, pipe: p, by: 'capacity', group: () => group });
     const used = async (): Promise<number> => {
--- a/packages/simulation/src/measure-registers.ts
+++ b/packages/simulation/src/measure-registers.ts
@@ -120,8 +120,12 @@
 ];
 
 // Real keepers, each a process of its own on loopback.
-const host = (i: number): string => `127.0.77.${i}`;
-const keeperAt = (i: number): string => `${host(i)}:7101`;
+// Each run has a loopback network of its own, so that two runs on one machine do not meet; the keepers that it starts
+// are told by the environment.
+const network = (process.env['THORNSAIL_MEASURE_NETWORK'] ??=
+  `127.${64 + (process.pid & 63)}.${(process.pid >> 6) & 255}`);
+const host = (i: number): string => `${network}.${i}`;
+export const keeperAt = (i: number): string => `${host(i)}:7101`;
 export const benchKeeper = async (i: number, folder: string): Promise<void> => {
   const lens = real.lens(folder);
   const p = await pipe.open(lens, keeperAt(i));
