Simulation: the measuring programs in measurement/, a part a file

measure-capacity.ts (910 lines), capacity.ts (485), measure-cli.ts (530), measure-registers.ts, hollow.ts, fit.ts and their commands are packages/simulation/src/measurement/ now: a file for each part of 'npm run measure', and capacity/ for the slopes and the page of docs/CAPACITY.md.

Found on the way: the measurement of a store in a process of its own listened at 127.0.77.11 and 127.0.77.19, whichever process ran it. Two runs of capacity.test on one machine took each other's address: one failed with EADDRINUSE, and the one whose child ended before it was up waited for ever. The addresses come from the process id now, and a child that ends early is an error.

--- /dev/null
+++ b/packages/simulation/src/measurement/capacity/dealing.ts
@@ -0,0 +1,46 @@
+// How many turns get the worker that holds their context, by the number of fronts that share the workers.
+import { chart } from '@thornsail/config-schema';
+import { type Load, berth, newsLag } from '@thornsail/load-balancer';
+import type { Us } from '@thornsail/runtime';
+import type { Point } from '../fit.js';
+import { hollowConfig, workerList } from '../hollow.js';
+import { type Part, pick, slope } from './slope.js';
+
+/** Of the turns that have a worker which holds their context, how many get it: ten of 24 slots are free everywhere. */
+export const dealing: Part = async (sizes) => {
+  const free = 10;
+  const out: Point[] = [];
+  for (const edges of pick(sizes, [16, 40, 80, 160, 380], [12, 16, 24, 48])) {
+    const workers = workerList(24, 1);
+    let now: Us = 0;
+    const b = berth.open(
+      () => now,
+      'e000',
+      () => Math.floor(now / newsLag),
+    );
+    const c = chart.check(hollowConfig(1));
+    if (!c.ok) throw new Error('the configuration of the measurement is wrong');
+    b.config(c.value);
+    b.workers(workers);
+    b.siblings(
+      Array.from({ length: edges - 1 }, (_, i) => {
+        const running: Load['running'] = {};
+        for (const w of workers) {
+          const n = Math.floor((24 - free) / (edges - 1)) + (i < (24 - free) % (edges - 1) ? 1 : 0);
+          if (n > 0) running[w.id] = { chat: n };
+        }
+        return { id: `e${String(i + 1).padStart(3, '0')}`, load: { running, waiting: {} } };
+      }),
+    );
+    let kept = 0;
+    const tries = sizes === 'small' ? 400 : 4000;
+    for (let i = 0; i < tries; i++) {
+      now += newsLag;
+      const hint = workers[i % workers.length]!.id;
+      if (b.pick('chat', { hint })?.id === hint) kept += 1;
+    }
+    out.push([edges, (100 * kept) / tries]);
+  }
+  const name = 'turns that get the worker with their context';
+  return { failed: [], slopes: [slope(name, 'front', '%', 'simulated', out, 'power')] };
+};
--- /dev/null
+++ b/packages/simulation/src/measurement/capacity/keeping.ts
@@ -0,0 +1,65 @@
+// Processor time of register changes at a store in a process of its own, by the size of the value.
+import path from 'node:path';
+import { spawn } from 'node:child_process';
+import { mkdtempSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { type Group, registers } from '@thornsail/register-store';
+import { pipe } from '@thornsail/rpc';
+import { real, us } from '@thornsail/runtime';
+import type { Point } from '../fit.js';
+import { benchAddress, isUp } from '../registers.js';
+import { cpu } from './cost.js';
+import { written } from './registers.js';
+import { type Part, slope } from './slope.js';
+import { here } from './sockets.js';
+
+type Usage = { cpu: { user: number; system: number } };
+
+export const keeping: Part = async (sizes) => {
+  const folder = mkdtempSync(path.join(tmpdir(), 'thornsail-capacity-'));
+  const at = benchAddress(11);
+  const args = [path.join(here, '../registers-cli.js'), '--keeper', '11', path.join(folder, 'k'), at];
+  const c = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'ignore'] });
+  try {
+    await isUp(c);
+    const lens = real.lens(folder);
+    const p = await pipe.open(lens, benchAddress(19));
+    const group: Group = { mark: 1, members: [{ id: 'k11', at }] };
+    const regs = registers.open({ lens, pipe: p, by: 'capacity', group: () => group });
+    const used = async (): Promise<number> => {
+      const u = await p.ask<Usage>(at, 'bench.usage', {}, us.s(5));
+      return u.cpu.user + u.cpu.system;
+    };
+    const atKeeper: Point[] = [];
+    const atFront: Point[] = [];
+    const changes = sizes === 'small' ? 100 : 1000;
+    const load = async (kb: number, n: number): Promise<void> => {
+      const value = { text: 'say it "so" '.repeat(Math.round((kb * 1000) / 14)) };
+      let i = 0;
+      const one = async (): Promise<void> => {
+        for (let k = i++; k < n; k = i++) await regs.change(`k${kb}-${k % 100}`, written(value), us.s(5));
+      };
+      await Promise.all(Array.from({ length: 16 }, one));
+    };
+    await load(1, changes);
+    for (const kb of [1, 4, 16, 40]) {
+      const [a, own] = [await used(), cpu()];
+      await load(kb, changes);
+      atFront.push([kb, (cpu() - own) / changes]);
+      atKeeper.push([kb, ((await used()) - a) / changes]);
+    }
+    p.tell(at, 'bench.end', {});
+    await new Promise((fin) => setTimeout(fin, 100));
+    await p.close();
+    return {
+      failed: [],
+      slopes: [
+        slope('a change at a keeper', 'KB of value', 'µs', 'measured', atKeeper),
+        slope('a change at its front, for each keeper', 'KB of value', 'µs', 'measured', atFront),
+      ],
+    };
+  } finally {
+    c.kill();
+    rmSync(folder, { recursive: true, force: true });
+  }
+};
--- /dev/null
+++ b/packages/simulation/src/measurement/capacity/messages.ts
@@ -0,0 +1,149 @@
+// Messages of nodes without traffic on the simulated network, by the number of processes.
+import { us } from '@thornsail/runtime';
+import type { Point } from '../fit.js';
+import { type Hollow, hollow, total } from '../hollow.js';
+import { type Failed, type Part, type Slope, pick, slope } from './slope.js';
+
+const meanOf = (h: Hollow, role: 'front' | 'pilot' | 'keeper', of: (n: Hollow['nodes'][number]) => number): number => {
+  const all = h.of(role).map(of);
+  return all.reduce((a, b) => a + b, 0) / all.length;
+};
+
+/** What a front and its pilot send and get, in the mean. */
+const atNode = (h: Hollow, kinds: (kind: string) => boolean): { messages: number; bytes: number } => {
+  const of = (what: 'messages' | 'bytes'): number => {
+    const both = (n: Hollow['nodes'][number]): number =>
+      total(n.tally.sent, kinds)[what] + total(n.tally.got, kinds)[what];
+    return meanOf(h, 'front', both) + meanOf(h, 'pilot', both);
+  };
+  return { messages: of('messages'), bytes: of('bytes') };
+};
+
+const isControl = (kind: string): boolean => !kind.startsWith('load') && !kind.startsWith('news.load');
+
+/** Turns that begin and end at every front, ten times a second, without a request: what runs changes all the time. */
+const stir = (h: Hollow): void => {
+  const step = (i: number): void => {
+    for (const n of h.of('front')) {
+      const adm = n.node?.fairway?.admission;
+      const worker = adm?.worker('worker-00000');
+      if (!adm || !worker) continue;
+      if (i % 2) adm.leave(worker.id, 'chat', null);
+      else void adm.slot('chat', { hint: worker.id, not: new Set(), force: true, limit: 0, service: 'model-0' });
+    }
+  };
+  for (let i = 0; i < 40; i++) h.w.at(h.w.now() + i * us.ms(100), () => step(i));
+};
+
+export const messages: Part = async (sizes) => {
+  const failed: Failed[] = [];
+  const rows: Record<string, Point[]> = {};
+  const put = (name: string, x: number, y: number): void => void (rows[name] ??= []).push([x, y]);
+  const span = sizes === 'small' ? 2 : 6;
+  const stirred = sizes === 'small' ? 1 : 4;
+  for (const edges of pick(sizes, [4, 8, 16, 32], [2, 3, 4, 5])) {
+    const h = await hollow.open({ edges });
+    if (!h) throw new Error(`${edges} edges did not come up`);
+    const processes = h.nodes.length;
+    put('a cold start, at the busiest seed', processes, h.started.bytes);
+    await h.run(us.s(2));
+    h.clear();
+    await h.run(us.s(span));
+    const both = (n: Hollow['nodes'][number], kinds: (k: string) => boolean): number =>
+      (total(n.tally.sent, kinds).bytes + total(n.tally.got, kinds).bytes) / span;
+    put(
+      'heartbeats of a process',
+      processes,
+      meanOf(h, 'pilot', (n) => both(n, (k) => k === 'beat')),
+    );
+    const others = (k: string): boolean => isControl(k) && k !== 'beat' && k !== 'news.workers';
+    put(
+      'a pilot, idle, the rest',
+      processes,
+      meanOf(h, 'pilot', (n) => both(n, others)),
+    );
+    put(
+      'a front, idle, the rest',
+      processes,
+      meanOf(h, 'front', (n) => both(n, others)),
+    );
+    put('frames at a node, idle, heartbeats', processes, atNode(h, (k) => k === 'beat').messages / span);
+    put('frames at a node, idle, the rest', processes, atNode(h, others).messages / span);
+    put(
+      'load, idle, at a front',
+      edges,
+      meanOf(h, 'front', (n) => both(n, (k) => !isControl(k))),
+    );
+    put(
+      'load, idle, at a pilot',
+      edges,
+      meanOf(h, 'pilot', (n) => both(n, (k) => !isControl(k))),
+    );
+    put(
+      'readiness asks at a keeper',
+      edges,
+      meanOf(h, 'keeper', (n) => total(n.tally.got, (k) => k === 'reg.read').messages / span),
+    );
+    h.clear();
+    stir(h);
+    await h.run(us.s(stirred));
+    put(
+      'load while turns change',
+      edges,
+      meanOf(h, 'front', (n) => total(n.tally.sent, (k) => k === 'load').messages / stirred),
+    );
+    h.clear();
+    const took = await h.push();
+    await h.run(us.s(1));
+    const all = h.nodes.map((n) => total(n.tally.got, (k) => k === 'news.uses').bytes);
+    put('what fronts say of one change, at a process', processes, all.reduce((a, b) => a + b, 0) / all.length);
+    put('one change in use everywhere', processes, us.toMs(took));
+    const times = atNode(h, (k) => k === 'news.order').messages;
+    put('times that a version goes in and out of a node', processes, times);
+  }
+  for (const workers of pick(sizes, [50, 200, 800, 3200], [50, 100, 150, 200])) {
+    const h = await hollow.open({ edges: sizes === 'small' ? 2 : 4, workers });
+    if (!h) throw new Error('the hollow nodes did not come up');
+    await h.run(us.s(2));
+    h.clear();
+    await h.run(us.s(span));
+    put('the list of workers, at a node', workers, atNode(h, (k) => k === 'news.workers').bytes / span);
+  }
+  // How far the simulator goes: all of them in one roster, and nothing more.
+  for (const edges of pick(sizes, [96], [])) {
+    const h = await hollow.open({ edges, within: us.s(60), bare: true });
+    const what = `hollow nodes: ${2 * edges + 6} processes on the simulated net`;
+    const why =
+      'not in one roster after a minute of processor time: a round of heartbeats looks at every pair of nodes';
+    if (h) put('a cold start, at the busiest seed', h.nodes.length, h.started.bytes);
+    else failed.push({ what, why });
+  }
+  const line = (name: string, by: string, unit: string): Slope => slope(name, by, unit, 'simulated', rows[name]!);
+  const flat = (name: string, unit: string): Slope => slope(name, 'process', unit, 'simulated', rows[name]!, 'flat');
+  return {
+    failed,
+    slopes: [
+      flat('heartbeats of a process', 'bytes a second'),
+      flat('a pilot, idle, the rest', 'bytes a second'),
+      flat('a front, idle, the rest', 'bytes a second'),
+      flat('frames at a node, idle, heartbeats', 'messages a second'),
+      flat('frames at a node, idle, the rest', 'messages a second'),
+      line('load, idle, at a front', 'front', 'bytes a second'),
+      line('load, idle, at a pilot', 'front', 'bytes a second'),
+      line('load while turns change', 'front', 'messages a second'),
+      line('readiness asks at a keeper', 'front', 'messages a second'),
+      line('what fronts say of one change, at a process', 'process', 'bytes'),
+      line('one change in use everywhere', 'process', 'ms'),
+      flat('times that a version goes in and out of a node', 'messages'),
+      line('the list of workers, at a node', 'worker', 'bytes a second'),
+      slope(
+        'a cold start, at the busiest seed',
+        'process',
+        'bytes',
+        'simulated',
+        rows['a cold start, at the busiest seed']!,
+        'power',
+      ),
+    ],
+  };
+};
--- /dev/null
+++ b/packages/simulation/src/measurement/capacity/needs.ts
@@ -0,0 +1,246 @@
+// What each role holds and says at the size to design for, as slope times size.
+import { amount, figure, ofAllowed, ofCore } from './figure.js';
+import { type Known, known as slopesByName, versionBytes, versionCopies, versionsADay } from './known.js';
+import { allowed, day, header, perFront, running, size, taken, turnKb } from './size.js';
+import type { Slope } from './slope.js';
+
+/** One row of what a role holds or says; `breaks` says at which size it passes what is allowed. */
+export type Need = { role: string; what: string; by: string; value: string; part: string; breaks: string };
+
+/** The rows so far, and one function for each kind of row; figures are per node at the size to design for. */
+type NeedTable = {
+  rows: Need[];
+  /** Bytes a second. */
+  rate: (role: string, what: string, by: string, value: number, breaks?: string) => void;
+  /** Microseconds of processor time a second. */
+  time: (role: string, what: string, by: string, value: number, breaks?: string) => void;
+  /** Bytes of memory. */
+  held: (role: string, what: string, by: string, value: number, breaks?: string) => void;
+  /** A figure in words, with what it is part of. */
+  free: (role: string, what: string, by: string, value: string, part?: string, breaks?: string) => void;
+};
+type Topic = (known: Known, table: NeedTable) => void;
+
+/** The size from which on it breaks, in words. */
+const from = (n: number, of: string): string =>
+  n < 1 ? 'from the first' : `from ${figure(n < 1000 ? Math.ceil(n) : n)} ${of}`;
+
+/** What does not grow breaks at any size, or at none. */
+const end = (value: number, most: number, breaks = 'from the first'): string => (value <= most ? 'holds' : breaks);
+
+const needTable = (): NeedTable => {
+  const rows: Need[] = [];
+  const add = (role: string, what: string, by: string, value: string, part: string, breaks: string): void =>
+    void rows.push({ role, what, by, value, part, breaks });
+  const rate = (role: string, what: string, by: string, value: number, breaks?: string): void => {
+    const part = ofAllowed(value, allowed.bytes, '12 KB/s');
+    add(role, what, by, amount(value, 'B/s'), part, end(value, allowed.bytes, breaks));
+  };
+  const time = (role: string, what: string, by: string, value: number, breaks?: string): void =>
+    add(
+      role,
+      what,
+      by,
+      ofCore(value),
+      ofAllowed(value, allowed.cpu, '2.7% of a core'),
+      end(value, allowed.cpu, breaks),
+    );
+  const held = (role: string, what: string, by: string, value: number, breaks?: string): void =>
+    add(
+      role,
+      what,
+      by,
+      amount(value, 'B'),
+      ofAllowed(value, allowed.memory, '32 MB'),
+      end(value, allowed.memory, breaks),
+    );
+  const free = (role: string, what: string, by: string, value: string, part = '', breaks = ''): void =>
+    add(role, what, by, value, part, breaks);
+  return { rows, rate, time, held, free };
+};
+
+/** What the load between fronts grows with. */
+const perTurns = 'fronts × turns that run';
+
+/** Bytes that a node sends and receives; a node is its front and its pilot. */
+const bytesOfNodes: Topic = ({ at, slope }, { rate }) => {
+  rate('node', 'heartbeats', 'constant', 2 * at('heartbeats of a process'));
+  const rest = at('a pilot, idle, the rest') + at('a front, idle, the rest');
+  rate('node', 'digests, news of the core, readiness', 'constant', rest);
+  const heads = header * (at('frames at a node, idle, heartbeats') + at('frames at a node, idle, the rest'));
+  rate('node', 'their TCP and IP headers', 'constant', heads);
+  const idleBytes = 2 * at('heartbeats of a process') + rest + heads;
+  rate('node', 'these three together', 'constant', idleBytes);
+  const loadBytes = at('a load message, by turns that run');
+  const pairs = 2 * slope('load while turns change') * loadBytes;
+  const straight = 2 * at('load while turns change') * loadBytes;
+  rate('front', 'load, straight to every front', perTurns, straight, from(1 + allowed.bytes / pairs, 'fronts'));
+  const idle = at('load, idle, at a front') + at('load, idle, at a pilot');
+  const idleEach = slope('load, idle, at a front') + slope('load, idle, at a pilot');
+  rate('node', 'load, while nothing runs', 'fronts', idle, from(allowed.bytes / idleEach, 'fronts'));
+  const treeEach = (slope('load, idle, at a pilot') * loadBytes) / at('a load message, by turns that run', 0);
+  rate('pilot', 'load, by the tree', perTurns, treeEach * size.nodes, from(allowed.bytes / treeEach, 'fronts'));
+  const list = 'the list of workers, at a node';
+  rate('node', list, 'workers', at(list), from(allowed.bytes / slope(list), 'workers'));
+};
+
+/** Versions that are sent whole, read and passed on, and what acknowledges them. */
+const versions: Topic = (known, { rate, time, free }) => {
+  const { at, slope } = known;
+  const copies = versionCopies(known);
+  for (const routes of taken.routes) {
+    const bytes = versionBytes(known, routes);
+    const name = `a version with ${figure(routes)} routes`;
+    const most = (allowed.bytes * day) / (copies * bytes);
+    free('tower', name, 'processes, classes, routes', amount(bytes, 'B'), ofAllowed(bytes, 2 ** 24, 'a frame'));
+    rate(
+      'node',
+      `${name}, sent whole`,
+      'the same × changes',
+      (copies * bytes * versionsADay) / day,
+      from(most, 'a day'),
+    );
+    const perByte = slope('a version read and passed on') / slope('a version, by roster');
+    const reading = (2 * perByte * bytes * versionsADay) / day;
+    const readMost = from((versionsADay * allowed.cpu) / reading, 'a day');
+    time('node', `${name}, read and passed on`, 'the same × changes', reading, readMost);
+  }
+  const uses = (4 * at('what fronts say of one change, at a process') * size.changes) / day;
+  const usesMost = (size.nodes * allowed.bytes) / uses;
+  rate('node', 'acknowledgements of fronts', 'fronts × changes', uses, from(usesMost, 'fronts'));
+};
+
+/** Processor time of a node and of its front. */
+const processorTime: Topic = (known, { time, free }) => {
+  const { at, slope } = known;
+  const round = at('a round of heartbeats');
+  const roundMost = known.reaches('a round of heartbeats', allowed.cpu / 10);
+  time('node', 'rounds of heartbeats, five a second', 'processes²', 10 * round, from(roundMost, 'processes'));
+  const idleTime = 2 * known.of('a process on real sockets, idle').fit.base;
+  time('node', 'two idle processes, whatever else', 'constant', idleTime);
+  const takeIn = 100 * at('loads of the other fronts taken in');
+  const takeMost = known.reaches('loads of the other fronts taken in', allowed.cpu / 100);
+  time('front', 'loads taken in, a hundred times a second', perTurns, takeIn, from(takeMost, 'fronts'));
+  const picks = perFront * at('a worker picked');
+  const pickMost = known.reaches('a worker picked', 1e6 / perFront);
+  free('front', 'workers picked', 'fronts²', ofCore(picks), 'data path', `${from(pickMost, 'fronts')}: a whole core`);
+  const byPrograms = slope('a turn in the scheduler, by programs') * running;
+  const turns = perFront * (at('a turn in the scheduler, by workers') + byPrograms);
+  const turnMost = known.reaches('a turn in the scheduler, by workers', 1e6 / perFront - byPrograms);
+  const turnEnd = `${from(turnMost, 'workers')}: a whole core`;
+  free('front', 'turns in the scheduler', 'workers + programs', ofCore(turns), 'data path', turnEnd);
+};
+
+/** What the tables that each front keeps for itself mean to its turns. */
+const schedulerTables: Topic = (known, { free }) => {
+  const { at, slope } = known;
+  const table = `${figure(running)} programs`;
+  // A program whose end nobody saw stays for half an hour.
+  const fewest = size.requests / (((10_000 - running) * size.nodes) / 1800);
+  const tableEnd = `holds if spread; with ends unseen, not below ${figure(fewest)} turns a program`;
+  free('front', "the scheduler's table", 'programs / fronts', table, `${figure(running / 100)}% of 10000`, tableEnd);
+  const warm = 'turns that get the worker with their context';
+  const warmEnd = `half of them: ${from((50 / known.of(warm).fit.base) ** (1 / slope(warm)), 'fronts')}`;
+  free('front', warm, '1 / fronts', `${figure(at(warm))}%`, '10 of 24 slots free', warmEnd);
+};
+
+/** Memory of a process and of what it keeps. */
+const memory: Topic = (known, { held, free }) => {
+  const { at } = known;
+  const empty = known.of('memory of all hollow nodes together').fit.base;
+  held('process', 'a process of ours with nothing in it', 'constant', empty);
+  const connections = at('connections of all of them') / taken.processes;
+  free('process', 'connections, both ends', 'processes', figure(connections), '', 'holds');
+  held('process', 'the roster', 'processes', at('memory of the roster'));
+  held('process', 'the list of workers', 'workers', at('memory of the list'));
+  const loadsMost = known.reaches('memory of the loads of others', allowed.memory);
+  held('front', 'loads of the other fronts', 'turns', at('memory of the loads of others'), from(loadsMost, 'turns'));
+};
+
+/** What the coordinators and the seeds send. */
+const coordinators: Topic = (known, { free }) => {
+  const { at } = known;
+  const head_ = (5 * versionBytes(known, taken.routes[0]) * versionsADay) / day;
+  free(
+    'tower',
+    'a head sends, with 300 routes',
+    'versions',
+    amount(head_, 'B/s'),
+    'two members, three children',
+    'holds',
+  );
+  const cold = at('a cold start, at the busiest seed');
+  free('seed', 'a cold start of all', 'processes²', amount(cold, 'B'), `${figure(cold / 1.25e9)} s of 10 Gbit/s`);
+  const inForce = 2 * at('news down the tree, 30 ms a hop') + 2 * taken.regionMs;
+  const inForceOf = ofAllowed(inForce, size.inForceMs, '6 s');
+  free(
+    'tower',
+    'a change in force, 30 ms a hop',
+    'log relays',
+    `${figure(inForce)} ms`,
+    inForceOf,
+    'holds if none is lost',
+  );
+};
+
+/** Processor time of register changes: charge and settle, a key's claim and its record, the turn that is kept. */
+const registerChanges: Topic = ({ at }, { free }) => {
+  const [small, large] = [at('a change at a keeper', 1), at('a change at a keeper')];
+  for (const [name, n] of [
+    ['no keys', 2],
+    ['a key for every request', 4],
+  ] as const) {
+    const cores = (size.requests * (n * small + large)) / 1e6;
+    const groups = `${figure(Math.ceil(2 * cores))} groups at half a core`;
+    const most = from(1e6 / (n * small + large), 'requests a second');
+    free('keeper', `changes, ${name}`, 'requests', `${figure(cores)} cores at each of three`, groups, most);
+  }
+  const ownChange = 'a change at its front, for each keeper';
+  const proposing = perFront * 3 * (2 * at(ownChange, 1) + at(ownChange));
+  free('front', 'changes, no keys, three keepers each', 'requests', ofCore(proposing), 'data path', 'holds');
+};
+
+/** What the stores keep and write for keys and turns. */
+const keptState: Topic = ({ at, slope }, { free }) => {
+  const keys = at('memory of a keeper');
+  const keysMost = `64 GB: ${from(64e9 / slope('memory of a keeper') / day, 'keyed requests a second')}`;
+  free('keeper', 'keys of a day, a key for every request', 'requests', amount(keys, 'B'), 'in memory', keysMost);
+  const oneHistory = size.history * taken.bytesPerToken;
+  const histories = size.programs * oneHistory;
+  const historiesMost = `64 GB: ${from(64e9 / oneHistory, 'programs')}`;
+  free('keeper', 'kept turns under way, at most', 'programs', amount(histories, 'B'), 'in memory', historiesMost);
+  const writing = amount(size.requests * turnKb * 1000, 'B/s');
+  free('keeper', 'kept turns, written', 'requests', writing, 'to each of three disks');
+  const remembered = 2 ** 20 * 24;
+  const part = `${figure((100 * remembered) / oneHistory / running)}% of ${figure(running)} programs`;
+  free('front', 'histories that it remembers', '24 MiB', figure(remembered / oneHistory), part, from(13, 'programs'));
+  const reading = amount(size.requests * oneHistory, 'B/s');
+  free('keeper', 'histories read, none remembered, at most', 'requests', reading, 'all keepers together');
+  const [claim, charge] = ['a first change of a register', 'a further change by the same edge'];
+  const before = at(claim!) + at(charge!) + 2 * taken.regionMs;
+  const allOf = from(size.firstTokenMs / (slope(claim!) + slope(charge!) + 2), 'ms one way: all of it');
+  const beforeOf = ofAllowed(before, size.firstTokenMs, '820 ms');
+  free('front', 'claim, charge, chain across regions', 'ms one way', `${figure(before)} ms`, beforeOf, allOf);
+};
+
+const topics = [
+  bytesOfNodes,
+  versions,
+  processorTime,
+  schedulerTables,
+  memory,
+  coordinators,
+  registerChanges,
+  keptState,
+];
+
+/** All rows of the table, in the order of docs/CAPACITY.md. */
+export const reckon = (slopes: Slope[]): Need[] => {
+  const table = needTable();
+  for (const topic of topics) topic(slopesByName(slopes), table);
+  return table.rows;
+};
+
+/** The cells of those rows. */
+export const needRows = (slopes: Slope[]): string[][] =>
+  reckon(slopes).map((n) => [n.role, n.what, n.by, n.value, n.part, n.breaks]);
--- /dev/null
+++ b/packages/simulation/src/measurement/capacity/processor.ts
@@ -0,0 +1,140 @@
+// Processor time of the parts that grow with the roster, the workers and the programs.
+import { pilotage } from '@thornsail/admission-scheduler';
+import { chart } from '@thornsail/config-schema';
+import { order } from '@thornsail/consensus';
+import type { Fairway } from '@thornsail/data-plane';
+import { lookout } from '@thornsail/failure-detector';
+import { berth } from '@thornsail/load-balancer';
+import { pipe } from '@thornsail/rpc';
+import { type Lens, us } from '@thornsail/runtime';
+import { parse, stringify } from 'devalue';
+import { hollow, hollowConfig, workerList } from '../hollow.js';
+import { cpu, cpuOf } from './cost.js';
+import { loadOf, newWorld, newsOf, nodeOf, programsOf, version, withRoster } from './fixtures.js';
+import { type Part, pick, points, slope } from './slope.js';
+
+const service = 'model-0';
+
+const berthAt = (edges: number, running: number, workers: number): ReturnType<typeof berth.open> => {
+  const b = berth.open(
+    () => 0,
+    'e000',
+    () => 0,
+  );
+  const c = chart.check({ ...hollowConfig(), classes: { chat: { kind: 'model', service, weight: 1 } } });
+  if (!c.ok) throw new Error('the configuration of the measurement is wrong');
+  b.config(c.value);
+  b.workers(workerList(workers));
+  b.siblings(
+    Array.from({ length: edges - 1 }, (_, i) => ({
+      id: `e${String(i + 1).padStart(3, '0')}`,
+      load: loadOf(i + 1, running, workers).load,
+    })),
+  );
+  return b;
+};
+
+/** One turn of a program that is known: it arrives, grows and ends; one of a hundred programs waits paused. */
+const turnCost = (programs: number, workers: number): number => {
+  const s = programsOf(programs, workers);
+  for (const p of s.programs.values())
+    if (p.turn === null && Number(p.id.slice(1)) % 100 === 1) {
+      p.standing = 'paused';
+      p.tokens = 3_000_000;
+    }
+  let n = 0;
+  return cpuOf(() => {
+    const turn = `x${n}`;
+    const limits = { timeLeft: us.s(600), expected: us.s(10), silence: us.s(2) };
+    const program = `p${((n++ * 2 + 3) % programs) | 1}`;
+    pilotage.step(s, { kind: 'arrive', turn, program, tokens: 240_000, ...limits }, us.s(1));
+    pilotage.step(s, { kind: 'end', turn, tokens: 240_000, final: false, worker: null }, us.s(1));
+    pilotage.step(s, { kind: 'gone', turn }, us.s(1));
+  }, 100);
+};
+
+export const processor: Part = async (sizes) => {
+  const roster = pick(sizes, [50, 100, 200, 400, 800], [10, 20, 30, 40]);
+  const round = async (n: number): Promise<number> => {
+    const w = newWorld();
+    const all = Array.from({ length: n }, (_, i) => ({ ...nodeOf(i), inc: 1 }));
+    const lens = w.lens(w.host('10.0.0.1', 'z1'));
+    const ticks: (() => void)[] = [];
+    const clock: Lens['clock'] = {
+      ...lens.clock,
+      tick: (_after, fn) => {
+        ticks.push(fn);
+        return () => undefined;
+      },
+    };
+    const p = await pipe.open(lens, all[0]!.place);
+    lookout.open({
+      lens: { ...lens, clock },
+      pipe: p,
+      self: () => all[0]!,
+      roster: () => all,
+      report: () => undefined,
+    });
+    const rounds = Math.max(1, Math.round(40_000 / n ** 2));
+    let best = Infinity;
+    for (let r = 0; r < 3; r++) {
+      const begun = cpu();
+      for (let i = 0; i < rounds; i++) {
+        ticks.shift()!();
+        await new Promise((fin) => setImmediate(fin));
+      }
+      best = Math.min(best, (cpu() - begun) / rounds);
+    }
+    return best;
+  };
+  const taken = (n: number): number => {
+    const text = stringify(newsOf(version(withRoster(n))));
+    return cpuOf(() => {
+      const [v] = parse(text) as { value: unknown }[];
+      if (!order.sound(v!.value)) throw new Error('not sound');
+      stringify([v]);
+    }, 20);
+  };
+  /** Everything in the proportions of the size: 31.6 workers and 763 running turns for each front. */
+  const scales = pick(sizes, [12, 24, 48, 95, 190], [2, 3, 4, 5]);
+  const picks = (edges: number): number => {
+    const b = berthAt(edges, 763, Math.round(edges * 31.6));
+    const hint = b.list()[0]!.id;
+    return cpuOf(() => void b.pick('chat', { hint }), 10);
+  };
+  const siblingsIn = async (edges: number): Promise<number> => {
+    const h = await hollow.open({ edges: 1, workers: Math.round(edges * 31.6) });
+    const adm = (h!.of('front')[0]!.node!.fairway as Fairway).admission;
+    const l = Array.from({ length: edges - 1 }, (_, i) => ({
+      ...loadOf(i + 1, 763, Math.round(edges * 31.6)),
+      id: `e${i}`,
+    }));
+    return cpuOf(() => adm.siblings(l), 10);
+  };
+  const turns = pick(sizes, [1000, 4000, 8000, 16_000], [50, 100, 150, 200]);
+  const workers = pick(sizes, [1500, 3000, 6000, 12_000], [50, 100, 150, 200]);
+  const us_ = 'µs';
+  return {
+    failed: [],
+    slopes: [
+      slope('a round of heartbeats', 'process', us_, 'measured', await points(roster, round), 'power'),
+      slope('a version read and passed on', 'process', us_, 'measured', await points(roster, taken)),
+      slope('a worker picked', 'front', us_, 'measured', await points(scales, picks), 'power'),
+      slope('loads of the other fronts taken in', 'front', us_, 'measured', await points(scales, siblingsIn)),
+      slope(
+        'a turn in the scheduler, by programs',
+        'program',
+        us_,
+        'measured',
+        await points(turns, (n) => turnCost(n, 500)),
+      ),
+      slope(
+        'a turn in the scheduler, by workers',
+        'worker',
+        us_,
+        'measured',
+        await points(workers, (n) => turnCost(763, n)),
+      ),
+    ],
+  };
+};
--- /dev/null
+++ b/packages/simulation/src/measurement/capacity/spreading.ts
@@ -0,0 +1,31 @@
+// How long news takes down the tree of relays.
+import type { Beam } from '@thornsail/dissemination';
+import { us } from '@thornsail/runtime';
+import type { Point } from '../fit.js';
+import { openRelay } from '../relay-node.js';
+import { newWorld } from './fixtures.js';
+import { type Part, pick, slope } from './slope.js';
+
+export const spreading: Part = async (sizes) => {
+  const out: Point[] = [];
+  for (const n of pick(sizes, [13, 40, 121, 364], [4, 7, 10, 13])) {
+    const w = newWorld(us.ms(30));
+    const list = Array.from({ length: n }, (_, i) => ({ id: `r${i}`, place: `10.9.${i >> 8}.${i & 255}:1` }));
+    const all: Beam[] = [];
+    for (const [i, x] of list.entries()) {
+      const lens = w.lens(w.host(x.place.split(':')[0]!, `z${i % 14}`));
+      void openRelay(lens, x, list).then((relay) => all.push(relay));
+    }
+    await w.run(us.ms(100));
+    const times: number[] = [];
+    for (let m = 1; m <= 5; m++) {
+      const begun = w.now();
+      all[w.rand.int(n)]!.put('order', m, m);
+      while (all.some((b) => (b.get('order')?.mark ?? 0) < m)) await w.run(w.now() + us.ms(1));
+      times.push(us.toMs(w.now() - begun));
+    }
+    out.push([n, times.reduce((a, b) => a + b, 0) / times.length]);
+  }
+  const name = 'news down the tree, 30 ms a hop';
+  return { failed: [], slopes: [slope(name, 'relay', 'ms', 'simulated', out, 'log')] };
+};
--- /dev/null
+++ b/packages/simulation/src/measurement/duties.ts
@@ -0,0 +1,63 @@
+// How long a duty is vacant when its holder goes (§3.6).
+import { type Duty, watch } from '@thornsail/leases';
+import { pipe } from '@thornsail/rpc';
+import { us } from '@thornsail/runtime';
+import { world } from '../world.js';
+import { head, mean, out, row } from './table.js';
+
+export const duties = async (): Promise<void> => {
+  out('\n### Vacancy of a duty (simulated, 3 voters, 4 candidates, 20 seeds, 5 losses each)\n');
+  head('how the holder goes', 'vacant, mean ms', 'worst ms');
+  for (const how of ['it is killed', 'it is frozen', 'it leaves']) {
+    const took: number[] = [];
+    for (let seed = 1; seed <= 20; seed++) {
+      const w = world.open({ seed, zoneDelay: us.ms(1.5), clientDelay: us.ms(1), clientIp: '127.0.9.9' });
+      const voters = [1, 2, 3].map((i) => `127.0.3.${i}:1`);
+      for (const [i, at] of voters.entries()) {
+        const lens = w.lens(w.host(`127.0.3.${i + 1}`, `z${i}`));
+        void pipe.open(lens, at).then((p) => watch.voter({ lens, pipe: p }));
+      }
+      const hosts = [1, 2, 3, 4].map((i) => w.host(`127.0.1.${i}`, 'z1'));
+      const duties = new Map<number, Duty>();
+      let gen = 0;
+      const boot = (i: number): void => {
+        const lens = w.lens(hosts[i]!);
+        void pipe
+          .open(lens, `127.0.1.${i + 1}:1`)
+          .then((p) =>
+            duties.set(i, watch.duty({ lens, pipe: p, name: 'sweep', by: `n${i}.${gen++}`, voters: () => voters })),
+          );
+      };
+      for (let i = 0; i < 4; i++) boot(i);
+      const holder = (): number =>
+        [...duties].find(([i, d]) => d.holds() && hosts[i]!.alive && !hosts[i]!.frozen)?.[0] ?? -1;
+      for (let k = 0; k < 5; k++) {
+        while (holder() < 0) await w.run(w.now() + us.ms(10));
+        await w.run(w.now() + us.s(1) + w.rand.int(us.s(1)));
+        const h = holder();
+        const begun = w.now();
+        if (how === 'it is killed') {
+          w.kill(hosts[h]!, 'process');
+          duties.delete(h);
+        } else if (how === 'it is frozen') w.freeze(hosts[h]!);
+        else {
+          duties.get(h)!.close();
+          duties.delete(h);
+        }
+        await w.run(w.now() + us.ms(10));
+        while (holder() < 0 && w.now() - begun < us.s(20)) await w.run(w.now() + us.ms(10));
+        took.push(us.toMs(w.now() - begun));
+        if (how === 'it is killed') {
+          w.start(hosts[h]!);
+          boot(h);
+        } else if (how === 'it is frozen') w.wake(hosts[h]!);
+        else {
+          w.kill(hosts[h]!, 'process');
+          w.start(hosts[h]!);
+          boot(h);
+        }
+      }
+    }
+    row(how, Math.round(mean(took)), Math.max(...took));
+  }
+};
--- a/packages/simulation/src/hollow-cli.ts
+++ b/packages/simulation/src/measurement/hollow-cli.ts
@@ -1,4 +1,4 @@
-// Usage: node packages/simulation/src/hollow-cli.js EDGES SECONDS
+// Usage: node packages/simulation/src/measurement/hollow-cli.js EDGES SECONDS
 // Hollow nodes on real sockets, in a process of their own that ends
 // by itself (docs/CAPACITY.md).
 import { us } from '@thornsail/runtime';
--- a/packages/simulation/src/hollow.ts
+++ b/packages/simulation/src/measurement/hollow.ts
@@ -7,7 +7,7 @@
 import { chart } from '@thornsail/config-schema';
 import { invariant, real, us, type Lens, type Place, type Us } from '@thornsail/runtime';
 import { roles, type Node } from '@thornsail/thornsail';
-import { world, type Host, type World } from './world.js';
+import { world, type Host, type World } from '../world.js';
 
 type Sum = { messages: number; bytes: number };
 export type Tally = { sent: Map<string, Sum>; got: Map<string, Sum> };
--- a/packages/simulation/src/registers-cli.ts
+++ b/packages/simulation/src/measurement/registers-cli.ts
@@ -1,26 +1,22 @@
-// node packages/simulation/src/registers-cli.js [simulated|bench ...]: what a register change costs.
+// node packages/simulation/src/measurement/registers-cli.js [simulated|bench ...]: what a register change costs.
 import { fileURLToPath } from 'node:url';
 import { us } from '@thornsail/runtime';
-import { bench, benchHead, benchKeeper, simulated, simulatedHead } from './measure-registers.js';
+import { bench, benchHead, benchKeeper, simulated, simulatedHead } from './registers.js';
+import { head, row } from './table.js';
 
-const row = (...c: (string | number)[]): void => void process.stdout.write(`| ${c.join(' | ')} |\n`);
-const head = (c: string[]): void => {
-  row(...c);
-  row(...c.map(() => '---'));
-};
 const parts: Record<string, () => Promise<void>> = {
   simulated: async () => {
-    head(simulatedHead);
+    head(...simulatedHead);
     for (const syncFolder of [true, false])
       for (const syncTime of [2, 12])
         for (const rate of [100, 400])
           await simulated(row, { syncTime: us.ms(syncTime), rate, span: us.s(10), syncFolder });
   },
   bench: async () => {
-    head(benchHead);
+    head(...benchHead);
     for (const rate of [400, 800]) await bench(row, { rate, span: us.s(10), cli: fileURLToPath(import.meta.url) });
   },
 };
 const args = process.argv.slice(2);
-if (args[0] === '--keeper') await benchKeeper(Number(args[1]), args[2]!);
+if (args[0] === '--keeper') await benchKeeper(Number(args[1]), args[2]!, args[3]!);
 else for (const [name, run] of Object.entries(parts)) if (args.length === 0 || args.includes(name)) await run();
--- a/packages/simulation/src/measure-registers.ts
+++ b/packages/simulation/src/measurement/registers.ts
@@ -1,14 +1,15 @@
 // What a register change costs (docs/MEASUREMENTS.md): syncs, frames, bytes and added time in simulated time, and the
 // CPU of real keepers on loopback.
-import { spawn } from 'node:child_process';
+import { spawn, type ChildProcessByStdio } from 'node:child_process';
 import { mkdtempSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import path from 'node:path';
+import type { Readable } from 'node:stream';
 import { registers, store, type Group, type Registers } from '@thornsail/register-store';
-import { real, seeded, time, us, type Lens, type Rand, type Us } from '@thornsail/runtime';
+import { real, seeded, time, us, type Lens, type Place, type Rand, type Us } from '@thornsail/runtime';
 import { logbook } from '@thornsail/durable-files';
 import { pipe, shape, type Pipe } from '@thornsail/rpc';
-import { world } from './world.js';
+import { world } from '../world.js';
 
 type Row = (...c: (string | number)[]) => void;
 const ids = [1, 2, 3];
@@ -120,11 +121,13 @@
 ];
 
 // Real keepers, each a process of its own on loopback.
-const host = (i: number): string => `127.0.77.${i}`;
-const keeperAt = (i: number): string => `${host(i)}:7101`;
-export const benchKeeper = async (i: number, folder: string): Promise<void> => {
+/** Addresses of this process's own, by its id, so that two runs on one machine don't take each other's. */
+const host = (i: number): string => `127.${160 + ((process.pid >> 8) & 63)}.${process.pid & 255}.${i}`;
+export const benchAddress = (i: number): Place => `${host(i)}:7101`;
+/** A store that listens at `at`, writes to `folder`, and ends when it is told so; it prints a line once it is up. */
+export const benchKeeper = async (i: number, folder: string, at: Place): Promise<void> => {
   const lens = real.lens(folder);
-  const p = await pipe.open(lens, keeperAt(i));
+  const p = await pipe.open(lens, at);
   const book = await logbook.open(lens.disk);
   await store.open({ lens, pipe: p, book, freshId: `k${i}` });
   p.on('bench.usage', shape.any, () => ({
@@ -137,7 +140,14 @@
 };
 type Usage = { cpu: { user: number; system: number }; rss: number; syncs: number };
 const usage = (p: Pipe): Promise<Usage[]> =>
-  Promise.all(ids.map((i) => p.ask<Usage>(keeperAt(i), 'bench.usage', {}, us.s(5))));
+  Promise.all(ids.map((i) => p.ask<Usage>(benchAddress(i), 'bench.usage', {}, us.s(5))));
+
+/** Resolves when the child says that it is up; a child that ends before is an error. */
+export const isUp = (child: ChildProcessByStdio<null, Readable, Readable | null>): Promise<void> =>
+  new Promise((up, failed) => {
+    child.stdout.once('data', () => up());
+    child.once('exit', (code) => failed(new Error(`a store of the measurement ended with ${code} before it was up`)));
+  });
 
 export const benchHead = [
   'changes a second',
@@ -154,15 +164,15 @@
 export const bench = async (row: Row, o: { rate: number; span: Us; cli: string }): Promise<void> => {
   const folder = mkdtempSync(path.join(tmpdir(), 'thornsail-bench-'));
   const children = ids.map((i) =>
-    spawn(process.execPath, [o.cli, '--keeper', String(i), path.join(folder, `k${i}`)], {
+    spawn(process.execPath, [o.cli, '--keeper', String(i), path.join(folder, `k${i}`), benchAddress(i)], {
       stdio: ['ignore', 'pipe', 'inherit'],
     }),
   );
   try {
-    await Promise.all(children.map((c) => new Promise((up) => c.stdout.once('data', up))));
+    await Promise.all(children.map(isUp));
     const lens: Lens = real.lens(folder);
-    const p = await pipe.open(lens, `${host(9)}:7101`);
-    const group: Group = { mark: 1, members: ids.map((i) => ({ id: `k${i}`, at: keeperAt(i) })) };
+    const p = await pipe.open(lens, benchAddress(9));
+    const group: Group = { mark: 1, members: ids.map((i) => ({ id: `k${i}`, at: benchAddress(i) })) };
     const regs = registers.open({ lens, pipe: p, by: 'bench', group: () => group });
     const took: number[] = [];
     let failed = 0;
@@ -212,7 +222,7 @@
       pct(took, 0.99).toFixed(1),
       Math.round(Math.max(...b.map((x) => x.rss)) / 1e6),
     );
-    for (const i of ids) p.tell(keeperAt(i), 'bench.end', {});
+    for (const i of ids) p.tell(benchAddress(i), 'bench.end', {});
     await time.sleep(lens.clock, us.ms(100));
     await p.close();
   } finally {
--- /dev/null
+++ b/packages/simulation/src/measurement/spread.ts
@@ -0,0 +1,87 @@
+// Changes of the configuration: from the acknowledgement to their use, and past the loss of the leader (§7.2).
+import { us } from '@thornsail/runtime';
+import { type Fleet, fleet } from '../fleet.js';
+import { head, mean, out, pct, row } from './table.js';
+
+export const spread = async (): Promise<void> => {
+  out(
+    '\n### Configuration: from the acknowledgement to its use at every front (simulated, 20 pushes for each shape)\n',
+  );
+  head(
+    'shape',
+    'push acknowledged after, p50 ms',
+    'in use at all fronts after, p50 ms',
+    'worst ms',
+    'worst with a relay dead, ms',
+  );
+  for (const shape of ['lautoka', 'granite'] as const) {
+    const acks: number[] = [];
+    const used: number[] = [];
+    const dead: number[] = [];
+    for (const kill of [false, true]) {
+      const f = await fleet.open({ seed: 7, shape });
+      let mark = 1;
+      for (let i = 0; i < 20; i++) {
+        const begun = f.w.now();
+        let got = -1;
+        if (kill && i % 5 === 0) {
+          const p = `pilot-edge${1 + i / 5}`;
+          f.kill(p);
+        }
+        void f
+          .push(
+            { ...f.shape.config, limits: { onceKeepSeconds: 1000 + i } },
+            mark,
+            `m${i}`,
+            f.proc('front-edge7').options['http'] as string,
+          )
+          .then(
+            (r) => {
+              got = r.mark;
+            },
+            () => {
+              got = 0;
+            },
+          );
+        while (got < 0) await f.w.run(f.w.now() + us.ms(1));
+        const at = f.w.now();
+        acks.push(us.toMs(at - begun));
+        mark = got;
+        while (f.procs.some((p) => p.role === 'front' && (p.node?.counts()['config_mark'] ?? 0) < mark))
+          await f.w.run(f.w.now() + us.ms(1));
+        (kill ? dead : used).push(us.toMs(f.w.now() - at));
+        await f.w.run(f.w.now() + us.ms(400));
+      }
+    }
+    row(shape, pct(acks, 0.5), pct(used, 0.5), Math.max(...used), Math.max(...dead));
+  }
+};
+
+export const headloss = async (): Promise<void> => {
+  out('\n### A push just after the head of the towers was killed (simulated, 20 seeds)\n');
+  head('shape', 'acknowledged after, mean ms', 'worst ms');
+  for (const shape of ['lautoka', 'granite'] as const) {
+    const took: number[] = [];
+    for (let seed = 1; seed <= 20; seed++) {
+      const f = await fleet.open({ seed, shape });
+      await f.w.run(f.w.now() + us.ms(w100(f)));
+      f.kill(f.procs.find((p) => p.role === 'tower' && p.node?.counts()['leads'] === 1)!.name, 'power');
+      const begun = f.w.now();
+      let got = -1;
+      void f.push({ ...f.shape.config, limits: { onceKeepSeconds: 1001 } }, 1, 'x').then(
+        (r) => {
+          got = r.status;
+        },
+        () => {
+          got = 0;
+        },
+      );
+      while (got < 0) await f.w.run(f.w.now() + us.ms(5));
+      if (got === 200) took.push(us.toMs(f.w.now() - begun));
+      else out(`seed ${seed}: ${got}`);
+    }
+    row(shape, Math.round(mean(took)), Math.max(...took));
+  }
+};
+
+const w100 = (f: Fleet): number => f.w.rand.int(100);
--- /dev/null
+++ b/packages/simulation/src/measurement/turns.ts
@@ -0,0 +1,43 @@
+// What a turn costs in syncs, frames and ballots.
+import { us } from '@thornsail/runtime';
+import { fleet } from '../fleet.js';
+import { sum } from '../scene.js';
+import { head, out, row } from './table.js';
+
+export const turns = async (): Promise<void> => {
+  out('\n### What a turn costs (simulated; an idle fleet of the same length is subtracted)\n');
+  head(
+    'shape',
+    'load',
+    'turns',
+    'syncs per turn',
+    'frames per turn',
+    'full ballots per turn',
+    'quick ballots per turn',
+  );
+  for (const shape of ['lautoka', 'granite'] as const)
+    for (const [name, o] of [
+      ['short chats', { chats: 60, kept: 0, jobs: 0 }],
+      ['kept sessions', { chats: 0, kept: 20, jobs: 0 }],
+      ['jobs, half of them once', { chats: 0, kept: 0, jobs: 200 }],
+    ] as const) {
+      const f = await fleet.open({ seed: 1, shape });
+      const idle = await fleet.open({ seed: 1, shape });
+      const l = f.load({ ...o, over: us.s(5) });
+      const [s0, fr0] = [f.w.syncs(), f.w.frames()];
+      await f.until('the load', l.done, us.s(60));
+      const span = f.w.now();
+      const [si, fi] = [idle.w.syncs(), idle.w.frames()];
+      await idle.w.run(span);
+      const n = f.callers.summary.turns + f.callers.summary.jobs;
+      row(
+        shape,
+        name,
+        n,
+        ((f.w.syncs() - s0 - (idle.w.syncs() - si)) / n).toFixed(1),
+        ((f.w.frames() - fr0 - (idle.w.frames() - fi)) / n).toFixed(1),
+        (sum(f, 'register_rounds') / n).toFixed(2),
+        (sum(f, 'register_quick') / n).toFixed(2),
+      );
+    }
+};
--- a/packages/simulation/test/capacity.test.ts
+++ b/packages/simulation/test/capacity.test.ts
@@ -3,10 +3,14 @@
 import { fileURLToPath } from 'node:url';
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { capacity, failures, figure, needRows, slopeHead, slopeRows, ways } from '../src/capacity.js';
-import { fit, type Point } from '../src/fit.js';
-import { hollow, kindOf, total } from '../src/hollow.js';
-import { measure } from '../src/measure-capacity.js';
+import { failures } from '../src/measurement/capacity/failures.js';
+import { figure } from '../src/measurement/capacity/figure.js';
+import { measure } from '../src/measurement/capacity/index.js';
+import { needRows } from '../src/measurement/capacity/needs.js';
+import { capacity, slopeHead, slopeRows } from '../src/measurement/capacity/page.js';
+import { ways } from '../src/measurement/capacity/ways.js';
+import { fit, type Point } from '../src/measurement/fit.js';
+import { hollow, kindOf, total } from '../src/measurement/hollow.js';
 
 const page = readFileSync(fileURLToPath(new URL('../../../docs/CAPACITY.md', import.meta.url)), 'utf8');
 /** The cells of the tables of the page, by their row. */
