--- a/packages/simulation/test/load.test.ts
+++ b/packages/simulation/test/load.test.ts
@@ -3,7 +3,7 @@
 import * as assert from 'uvu/assert';
 import { loadPaths, type EdgePeer } from '@thornsail/data-plane';
 import { invariant, us } from '@thornsail/runtime';
-import { hollow, total, type Hollow, type HollowNode } from '../src/hollow.js';
+import { hollow, total, type Hollow, type HollowNode } from '../src/measurement/hollow.js';
 
 const peers = (count: number, zones = 3): EdgePeer[] =>
   Array.from({ length: count }, (_, i) => ({ id: `e${i}`, place: `10.0.0.${i}:1`, zone: `z${i % zones}` }));
