--- a/packages/simulation/src/measure-capacity.ts
+++ b/packages/simulation/src/measure-capacity.ts
@@ -835,6 +835,7 @@
   const at = keeperAt(11);
   const args = [path.join(here, 'registers-cli.js'), '--keeper', '11', path.join(folder, 'k')];
   const c = spawn(process.execPath, args, { stdio: ['ignore', 'pipe', 'ignore'] });
+  const ended = new Promise((fin) => c.once('close', fin));
   try {
     await new Promise((up) => c.stdout.once('data', up));
     const lens = real.lens(folder);
@@ -875,6 +876,7 @@
     };
   } finally {
     c.kill();
+    await ended;
     rmSync(folder, { recursive: true, force: true });
   }
 };
