An answer without a length that ends with its connection is no success

Log lines on the sockets showed an ordinary end (FIN), no reset, when a worker ended within such an answer: nothing on the wire tells it from a whole one, and we framed what had come as complete, with a length. Now a success without a length or chunks counts as lost: repeated where it may be, else 502. Price: whole ones without a length are given away too; passing them on unframed isn't built.

--- a/packages/data-plane/src/forward/dialect.ts
+++ b/packages/data-plane/src/forward/dialect.ts
@@ -40,7 +40,7 @@
   wrongInstance: boolean;
   /** A success that carries all a success must carry. */
   success: boolean;
-  /** Says success and lacks what a success must carry, or has an encoding that nobody asked for. */
+  /** Says success and lacks what a success must carry, a length too; or has an encoding that nobody asked for. */
   unsound: boolean;
   load: WorkerLoad | null;
   /** Seconds for which the worker keeps an idle connection. */
@@ -173,6 +173,13 @@
   };
 };
 
+const withoutBody: ReadonlySet<number> = new Set([204, 304]);
+/**
+ * Whether the end of an answer can be told from a worker that ended within it. One without a length ends with its
+ * connection, and that looks alike for both.
+ */
+const isFramed = (status: number, headers: Record<string, string>): boolean =>
+  headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined || withoutBody.has(status);
 const loadOf = (v: string | undefined): WorkerLoad | null => {
   const m = v === undefined ? null : /^\s*(\d+)\s*,\s*(\d+)\s*,\s*(\d+)\s*$/.exec(v);
   return m ? { running: Number(m[1]), waiting: Number(m[2]), slots: Number(m[3]) } : null;
@@ -202,7 +209,7 @@
       incoming: (p, status, headers) => {
         const success = status >= 200 && status < 300;
         const encoded = headers['content-encoding'] !== undefined;
-        const sound = headers[n.seal] !== undefined && !encoded;
+        const sound = headers[n.seal] !== undefined && !encoded && isFramed(status, headers);
         const notRun = headers[n.notRun] !== undefined || status === wrongInstance;
         return {
           mine: headers[n.attempt] === p.attempt || (status === wrongInstance && headers[n.attempt] === undefined),
