--- a/packages/simulation/src/guards.ts
+++ b/packages/simulation/src/guards.ts
@@ -76,7 +76,7 @@
     'a drain waits for running turns',
     '3 uncut',
     'data-plane/src/index.js',
-    'while (inFlight.size && clock.now() < end && !closed)',
+    'while ((inFlight.size || answering) && clock.now() < end && !closed)',
     'while (false)',
     { scenario: 'uncut' },
   ),
