--- a/packages/data-plane/src/chat.ts
+++ b/packages/data-plane/src/chat.ts
@@ -186,7 +186,6 @@
   const got = await worker.send(x.lens, to, {
     path: formats.chat.path,
     body: formats.chat.body({ messages: c.messages, maxTokens: p.maxTokens, rest: p.rest }),
-    fresh: p.key !== null,
     left: us.s(30),
     headers: {
       accept: 'text/event-stream',
--- a/packages/data-plane/src/edge.ts
+++ b/packages/data-plane/src/edge.ts
@@ -39,7 +39,7 @@
   send: async (
     lens: Lens,
     w: WorkerEntry,
-    o: { path: string; body: string; headers: Record<string, string>; fresh: boolean; left: Us },
+    o: { path: string; body: string; headers: Record<string, string>; left: Us },
   ): Promise<Sent> => {
     try {
       return {
@@ -50,7 +50,8 @@
           path: o.path,
           headers: { 'content-type': 'application/json', ...o.headers },
           body: o.body,
-          fresh: o.fresh,
+          // These workers name no request in their answers: none may come in another's place (§5.8).
+          fresh: true,
           timeLeft: o.left,
           silence: us.s(20),
         }),
--- a/packages/data-plane/src/job.ts
+++ b/packages/data-plane/src/job.ts
@@ -114,7 +114,6 @@
       path: formats.job.path,
       body: p.body,
       headers: p.key === null ? {} : { 'idempotency-key': p.key },
-      fresh: p.key !== null,
       left: Math.max(us.ms(100), p.timeLeft - spent(r)),
     });
     if (!got.ok) {
--- a/packages/runtime/src/frames.ts
+++ b/packages/runtime/src/frames.ts
@@ -1,5 +1,5 @@
 /**
- * Frames over TCP between nodes (§3.1): one connection each way between two addresses, length-prefixed frames, the first
+ * Frames over TCP between nodes (§3.1): one connection each way between two addresses, frames with a length, the first
  * of which names the sender.
  */
 import net from 'node:net';
--- a/packages/runtime/test/clients.test.ts
+++ b/packages/runtime/test/clients.test.ts
@@ -67,7 +67,7 @@
     },
   );
 });
-test('answers to several requests sent at once come in the order of the requests, each with its own bytes', async () => {
+test('answers to requests sent at once come in the order of these, each with its own bytes', async () => {
   await serving(
     async (request, say) => {
       await sleep(request.path === '/slow' ? 80 : 1);
--- a/packages/simulation/src/link.ts
+++ b/packages/simulation/src/link.ts
@@ -91,6 +91,8 @@
   Array.isArray(h) ? (h as readonly string[]) : Object.entries(h).flat();
 const bytesOf = (p: string | Uint8Array): Uint8Array => (typeof p === 'string' ? Buffer.from(p, 'utf8') : p);
 
+/** What becomes of a connection behind a whole answer. */
+type Afterwards = 'kept' | 'closed' | 'forgotten';
 type Reply = { say: WireSay; gone: () => void; taken: (bytes: number) => void };
 /** The server's side of one exchange. `over(close)` is told when its answer is whole. */
 const replyOf = (
@@ -101,12 +103,14 @@
     client: ClientEnd;
     idleFor: Us;
     up: () => boolean;
-    over: (close: boolean) => void;
+    over: (then: Afterwards) => void;
     cut: (code: string) => void;
   },
 ): Reply => {
   const { down, client } = o;
-  let [isGone, buffered, close] = [false, 0, false];
+  let [isGone, buffered] = [false, 0];
+  let then: Afterwards = 'kept';
+  let unframed = false;
   let goneFns: (() => void)[] = [];
   let drains: (() => void)[] = [];
   const runAll = (all: (() => void)[]): void => {
@@ -140,7 +144,8 @@
     head: (status, headers) => {
       const raw = flatOf(headers);
       const has = (name: string): boolean => raw.some((n, i) => i % 2 === 0 && n.toLowerCase() === name);
-      close = g.tableOf(raw)['connection'] === 'close';
+      const close = unframed || g.tableOf(raw)['connection'] === 'close';
+      if (close) then = 'closed';
       const kept = ['connection', 'keep-alive', 'keep-alive', `timeout=${Math.floor(o.idleFor / us.s(1))}`];
       const all = close || has('keep-alive') ? raw : [...raw, ...kept];
       if (!isGone) down.send(() => client.head(status, all));
@@ -155,7 +160,7 @@
       if (isGone) return;
       if (p !== undefined && p.length) write(p);
       down.send(client.end);
-      o.over(close);
+      o.over(then);
     },
     cut: () => cut('UND_ERR_SOCKET'),
     gone: () => isGone,
@@ -175,6 +180,12 @@
         g.later(after, o.host, put);
       };
     },
+    unframed: () => {
+      unframed = true;
+    },
+    forget: () => {
+      then = 'forgotten';
+    },
   };
   const taken = (n: number): void => {
     buffered -= n;
@@ -218,9 +229,10 @@
     ask: (x) => {
       if (!up) return down.send(() => client.broke('ECONNRESET'));
       rest += 1;
-      const over = (close: boolean): void => {
+      const over = (then: Afterwards): void => {
         reply = undefined;
-        if (close) shut('UND_ERR_SOCKET');
+        if (then === 'closed') shut('UND_ERR_SOCKET');
+        else if (then === 'forgotten') end();
         else idle();
       };
       const r = replyOf(g, { host: t, down, client, idleFor: served.idleFor(), up: () => up, over, cut: shut });
--- a/packages/simulation/src/world.ts
+++ b/packages/simulation/src/world.ts
@@ -774,7 +774,14 @@
       wire: (h) => ({
         serve: async (at, handler: WireHandler, o2) => {
           const plain: HttpHandler = (ask, say) =>
-            handler(ask, { ...say, garble: say.cut, reset: say.cut, surplus: () => undefined });
+            handler(ask, {
+              ...say,
+              garble: say.cut,
+              reset: say.cut,
+              surplus: () => undefined,
+              unframed: () => undefined,
+              forget: () => undefined,
+            });
           return listens(h, at, { handler: plain, wire: handler, idleFor: () => o2.idleFor }, o2.connections);
         },
       }),
--- a/packages/simulation/test/link.test.ts
+++ b/packages/simulation/test/link.test.ts
@@ -34,13 +34,20 @@
     if (path === '/garble') return say.garble();
     if (path === '/hang') return;
     if (path === '/surplus') say.surplus(us.ms(30), 200, ['x-path', 'surplus'], Buffer.from('more'));
+    if (path.startsWith('/unframed')) say.unframed();
+    if (path === '/forget') say.forget();
     if (path === '/slow') await time.sleep(lens.clock, us.ms(150));
-    say.head(200, [...head, ...(path === '/within' ? [] : ['content-length', '2'])]);
+    const noLength = path === '/within' || path.startsWith('/unframed');
+    say.head(200, [...head, ...(noLength ? [] : ['content-length', '2'])]);
     say.write(path === '/within' ? 'o' : 'ok');
     if (path === '/within') {
       await time.sleep(lens.clock, us.ms(20));
       return say.cut();
     }
+    if (path === '/unframed-reset') {
+      await time.sleep(lens.clock, us.ms(30));
+      return say.reset();
+    }
     say.end();
   };
 
@@ -160,6 +167,26 @@
       await p.sleep(us.ms(120));
       assert.not.ok(c.open());
     }));
+  test(`${name}: an answer without a length ends with its connection, and a reset is no end`, () =>
+    bench(async (p) => {
+      const c = p.connect();
+      assert.equal(await ask(c, '/unframed'), { status: 200, id: '/unframed', body: 'ok', how: 'end', sent: true });
+      await p.sleep(us.ms(50));
+      assert.not.ok(c.open());
+      const g = await ask(p.connect(), '/unframed-reset');
+      assert.equal(g, { status: 200, id: '/unframed-reset', body: 'ok', how: 'fail', sent: true });
+    }));
+  test(`${name}: one that was dropped unseen is reset by the next request, whose outcome is unknown`, () =>
+    bench(async (p) => {
+      const c = p.connect();
+      assert.is((await ask(c, '/forget')).how, 'end');
+      await p.sleep(us.ms(50));
+      assert.ok(c.open());
+      const g = await ask(c, '/a');
+      assert.equal(g, { status: 0, id: '', body: '', how: 'fail', sent: true });
+      await p.sleep(us.ms(50));
+      assert.not.ok(c.open());
+    }));
   test(`${name}: one that was cut is not used again`, () =>
     bench(async (p) => {
       const c = p.connect();
--- a/packages/test-harness/src/wire.ts
+++ b/packages/test-harness/src/wire.ts
@@ -11,6 +11,10 @@
   reset: () => void;
   /** A whole answer that nobody asked for, `after` the end of this one, on the same connection. */
   surplus: (after: Us, status: number, headers: readonly string[], body: Uint8Array) => void;
+  /** The answer that follows has no length and ends with its connection. Said before its head. */
+  unframed: () => void;
+  /** Behind this answer the connection is forgotten without a word: the next thing sent on it is reset. */
+  forget: () => void;
 };
 export type WireHandler = (ask: HttpAsk, say: WireSay) => void | Promise<void>;
 /** `idleFor`: an idle connection is closed after it; `connections`: more than these are reset. */
@@ -25,7 +29,12 @@
   for (let i = 0; i < headers.length; i += 2) lines.push(`${headers[i]}: ${headers[i + 1]}`);
   return Buffer.concat([Buffer.from(`${lines.join('\r\n')}\r\ncontent-length: ${body.length}\r\n\r\n`), body]);
 };
-const wireSay = (say: HttpSay, res: http.ServerResponse, socket: net.Socket): WireSay => ({
+const wireSay = (
+  say: HttpSay,
+  res: http.ServerResponse,
+  socket: net.Socket,
+  forgotten: WeakSet<net.Socket>,
+): WireSay => ({
   ...say,
   garble: () => void socket.write(noise),
   reset: () => void socket.resetAndDestroy(),
@@ -35,6 +44,10 @@
         if (!socket.destroyed) socket.write(answerOf(status, headers, body));
       }, after / 1000),
     ),
+  unframed: () => {
+    res.useChunkedEncodingByDefault = false;
+  },
+  forget: () => void forgotten.add(socket),
 });
 
 export const wire = {
@@ -42,10 +55,12 @@
     serve: (at, handler, o) =>
       new Promise((done, fail) => {
         const sockets = new Set<net.Socket>();
+        const forgotten = new WeakSet<net.Socket>();
         const server = http.createServer((req, res) => {
           const { socket } = res;
           if (!socket) return;
-          real.listener((ask, say) => handler(ask, wireSay(say, res, socket)), largest)(req, res);
+          if (forgotten.has(socket)) return void socket.resetAndDestroy();
+          real.listener((ask, say) => handler(ask, wireSay(say, res, socket, forgotten)), largest)(req, res);
         });
         server.keepAliveTimeout = o.idleFor / us.ms(1);
         server.on('connection', (s: net.Socket) => {
--- a/packages/thornsail/src/drain.ts
+++ b/packages/thornsail/src/drain.ts
@@ -3,7 +3,7 @@
 import { shape, type Pipe } from '@thornsail/rpc';
 
 /**
- * Takes the order only if it is meant for this process: its address may have been another one's when the order was sent.
+ * Takes the order only if it is meant for this process: the address may have been another one's when it was sent.
  * @param id this process's identity; a node of the release before names none, and is obeyed
  * @param drain begins the drain; it is not waited for
  */
