--- a/packages/simulation/src/world.ts
+++ b/packages/simulation/src/world.ts
@@ -94,6 +94,8 @@
   slow: (by: Us) => void;
   /** Frames get lost with this chance, come twice with half of it, and overtake one another by up to `jumble`. */
   rough: (loss: number, jumble: Us) => void;
+  /** Whether frames that a cut holds up arrive once it is over, as TCP sends them again, instead of being lost. */
+  holdFrames: (on: boolean) => void;
   logs: (fn: (at: Us, ip: string, part: string, text: string) => void) => void;
 };
 const base = 1_790_000_000_000_000;
@@ -182,6 +184,7 @@
     let extra = 0;
     let loss = 0;
     let jumble = 0;
+    let holding = false;
     let logger: (at: Us, ip: string, part: string, text: string) => void = () => undefined;
     const hosts = new Map<string, Host>();
     const processes = new Set<Host>();
@@ -321,16 +324,20 @@
               later(delay(h, t) * 2, h, () => mine.down(to));
               return;
             }
-            if (severed(h, t) || (loss > 0 && rand.next() < loss)) return;
+            if (!severed(h, t) && loss > 0 && rand.next() < loss) return;
             const send =
               jumble > 0
                 ? (fn: () => void): void => void later(delay(h, t) + rand.int(jumble), t, fn)
                 : (fn: () => void): void => deliver(h, t, fn);
+            const resend = (): void => {
+              if (h.inc === inc) later(rand.int(us.ms(300)), null, () => send(arrive));
+            };
             const arrive = (): void => {
-              if (severed(h, t)) return;
+              if (severed(h, t)) return holding ? void heals.push(resend) : undefined;
               fold(text.length > 64 ? text.slice(0, 64) : text);
               t.frames.get(to)?.got(at, text);
             };
+            if (severed(h, t)) return holding ? void heals.push(resend) : undefined;
             send(arrive);
             if (loss > 0 && rand.next() < loss / 2) send(arrive);
           },
@@ -790,6 +797,9 @@
       slow: (by) => {
         extra = by;
       },
+      holdFrames: (on) => {
+        holding = on;
+      },
       rough: (l, j) => {
         loss = l;
         jumble = j;
