--- a/packages/consensus/src/views.ts
+++ b/packages/consensus/src/views.ts
@@ -145,17 +145,23 @@
 
     const isSound = (u: unknown): boolean => isMarked(u) && (o.sound?.((u as Marked<unknown>).state) ?? true);
     // --- member side
+    /** The newest version that a leader has sent here, whether it has been written yet or not. */
+    let offered: Marked<S> | undefined;
     pipe.on<{ to: string; v: Marked<S>; doneSeq: number }>(
       'view.order',
       shape.has({ to: shape.text, v: isSound, doneSeq: shape.whole }),
-      ({ to, v, doneSeq }, from) =>
-        short(async (): Promise<Ack> => {
+      ({ to, v, doneSeq }, from) => {
+        if (to === id && (!offered || newer(v, offered))) offered = v;
+        return short(async (): Promise<Ack> => {
           if (to !== id || v.view < promised) return { ok: false, view: promised, seq: accepted?.seq ?? -1 };
           follow(v.view, from);
           if (accepted && accepted.view === v.view && accepted.seq === doneSeq) deliver(accepted);
+          // A newer one waits behind it: on a slow disk all that came meanwhile would have to be written in turn.
+          if (offered && newer(offered, v)) return { ok: false, view: promised, seq: accepted?.seq ?? -1 };
           if (!accepted || newer(v, accepted)) await accept(v);
           return { ok: true, view: promised, seq: accepted!.seq };
-        }),
+        });
+      },
     );
     pipe.on<{ to: string; view: number; doneSeq: number }>(
       'view.beat',
