--- a/packages/consensus/src/follower.ts
+++ b/packages/consensus/src/follower.ts
@@ -4,7 +4,7 @@
 import { isNewer } from './quorum.js';
 import { changeRole } from './role.js';
 import type { Place } from '@thornsail/runtime';
-import type { Continuation, Event, ReplicaState, RequestMessage, Step } from './types.js';
+import type { Continuation, Event, ReplicaState, RequestMessage, Snapshot, Step } from './types.js';
 
 type Request<S, K extends RequestMessage<S>['kind']> = {
   call: number;
@@ -43,16 +43,27 @@
   const { term, accepted } = step.state;
   step.effects.push({ type: 'reply', call, reply: { kind: 'append', ok: true, term, index: accepted!.index } });
 };
+const refuseAppend = <S>(step: Step<S>, call: number): void => {
+  const { term, accepted } = step.state;
+  const index = accepted?.index ?? neverHeld;
+  step.effects.push({ type: 'reply', call, reply: { kind: 'append', ok: false, term, index } });
+};
+/** Whether a newer version waits for the disk: on a slow disk all that came meanwhile need not be written in turn. */
+const isSuperseded = <S>(state: ReplicaState<S>, snapshot: Snapshot<S>): boolean =>
+  state.deferred.some(
+    (event) =>
+      event.type === 'request' &&
+      event.message.kind === 'append' &&
+      event.message.to === state.id &&
+      isNewer(event.message.snapshot, snapshot),
+  );
 const onAppend = <S>(step: Step<S>, { call, from, message }: Request<S, 'append'>): void => {
   const { state } = step;
   const { snapshot } = message;
-  if (message.to !== state.id || snapshot.term < state.term) {
-    const index = state.accepted?.index ?? neverHeld;
-    step.effects.push({ type: 'reply', call, reply: { kind: 'append', ok: false, term: state.term, index } });
-    return;
-  }
+  if (message.to !== state.id || snapshot.term < state.term) return refuseAppend(step, call);
   hearLeader(step, snapshot.term, from);
   commitAt(step, snapshot.term, message.commitIndex);
+  if (isSuperseded(state, snapshot)) return refuseAppend(step, call);
   if (!state.accepted || isNewer(snapshot, state.accepted))
     writeSnapshot(step, snapshot, { kind: 'acknowledge-append', call });
   else acknowledgeAppend(step, call);
