--- a/packages/consensus/src/driver.ts
+++ b/packages/consensus/src/driver.ts
@@ -34,7 +34,7 @@
   timing?: Partial<Timing>;
 };
 
-const tickInterval: Us = us.ms(50);
+const tickInterval: Us = us.ms(25);
 /** Codes of a write that the caller is told of; any other error is a fault of this program. */
 const diskErrors = ['full', 'failed'];
 
--- a/packages/consensus/src/election.ts
+++ b/packages/consensus/src/election.ts
@@ -103,15 +103,28 @@
   const base = state.accepted;
   if (state.role !== 'candidate' || state.term !== term || !base) return abandon(step);
   const election = beginPhase(step, 'vote', term, base);
-  for (const member of otherMembers(step, base.members))
-    send(step, member.at, { kind: 'vote', to: member.id, term }, state.timing.voteTimeout, {
-      kind: 'vote',
-      member,
-      election: election.number,
-    });
+  for (const member of otherMembers(step, base.members)) requestVote(step, election, member);
   settleVote(step, election);
 };
 
+const requestVote = <S>(step: Step<S>, { number, term }: Election<S>, member: Member): void =>
+  send(step, member.at, { kind: 'vote', to: member.id, term }, step.state.timing.voteTimeout, {
+    kind: 'vote',
+    member,
+    election: number,
+  });
+
+/** A voter told of a newer version: those of its members that the candidate did not know are asked too. */
+const widen = <S>(step: Step<S>, election: Election<S>, newest: Snapshot<S>): void => {
+  const known = new Set([...election.base.members, ...election.newest.members].map((member) => member.id));
+  election.newest = newest;
+  for (const member of otherMembers(step, newest.members))
+    if (!known.has(member.id)) {
+      election.pending += 1;
+      requestVote(step, election, member);
+    }
+};
+
 const abandon = <S>(step: Step<S>): void => {
   step.state.election = undefined;
   if (step.state.role === 'candidate') changeRole(step, 'stepped-down');
@@ -127,7 +140,7 @@
   election.pending -= 1;
   if (reply?.ok && reply.accepted) {
     election.granted.push(request.member.id);
-    if (isNewer(reply.accepted, election.newest)) election.newest = reply.accepted;
+    if (isNewer(reply.accepted, election.newest)) widen(step, election, reply.accepted);
   }
   settleVote(step, election);
 };
--- a/packages/consensus/test/model.test.ts
+++ b/packages/consensus/test/model.test.ts
@@ -194,6 +194,48 @@
   assert.ok(model.chosen.at(-1)!.state.includes(value));
   assert.equal(model.problems, []);
 });
+test('a candidate that learns of a member from its voters asks that member too', () => {
+  const { model, at } = formed(3, 1);
+  const [leader, old, middle] = at as [string, string, string];
+  const spare = model.nodes[3]!;
+  separate(model, [old], [leader, middle, spare.at]);
+  perform(model, { kind: 'add', at: leader, member: { id: spare.id, at: spare.at } });
+  run(model, 4);
+  perform(model, { kind: 'crash', at: leader });
+  separate(model, [old], [middle, spare.at], 'heal');
+  for (const node of model.nodes) node.clock += 700_000;
+  perform(model, { kind: 'time-out', at: old });
+  drain(model);
+  assert.is(leaderOf(model)?.at, old);
+  assert.is(leaderOf(model)?.state?.committed?.members.length, 4);
+  assert.equal(model.problems, []);
+});
+test('founders that start in any order, one of them killed or emptied meanwhile, form one group', () => {
+  let leaders = 0;
+  for (let seed = 1; seed <= 600; seed++) {
+    invariant.clear();
+    const pick = chance(seed);
+    const size = seed % 4 === 0 ? 5 : 3;
+    const model = create(size, 0);
+    const unlucky = model.nodes[pick(size)]!;
+    for (const node of model.nodes) if (pick(2)) perform(model, { kind: 'crash', at: node.at });
+    const troubleAt = pick(60);
+    for (let i = 0; i < 120 && model.problems.length === 0; i++) {
+      if (i === troubleAt) perform(model, { kind: pick(2) ? 'wipe' : 'crash', at: unlucky.at });
+      const { at } = model.nodes[pick(size)]!;
+      const node = model.nodes.find((one) => one.at === at)!;
+      if (!node.up) perform(model, { kind: 'restart', at });
+      else if (node.write && pick(3)) perform(model, { kind: 'sync', at });
+      else if (pick(4) === 0) perform(model, { kind: 'time-out', at });
+      const packets = packetActions(model).filter(({ kind }) => kind === 'deliver' || pick(8) === 0);
+      if (packets.length) perform(model, packets[pick(packets.length)]!);
+    }
+    checkRecovers(model);
+    assert.equal(model.problems, [], `seed ${seed}`);
+    leaders += Number(leaderOf(model) !== undefined);
+  }
+  assert.is(leaders, 600);
+});
 test('three members and two spares in random orders', () => {
   for (let seed = 1; seed <= 400; seed++) walk(3, 2, seed, 300);
 });
--- a/packages/consensus/test/model.ts
+++ b/packages/consensus/test/model.ts
@@ -19,6 +19,7 @@
   timers: Event<Values>[];
   calls: Map<number, number>;
   nextCall: number;
+  founders: string[];
 };
 type Packet = {
   from: string;
@@ -67,7 +68,8 @@
   (node: Node) =>
   (limit: number): number => {
     const number = Number(/\d+/.exec(node.id)?.[0] ?? 0);
-    return (number * 40_503 + Math.floor(node.clock / 50_000) * 7_919 * number) % limit;
+    const mixed = Math.imul((number * 0x9e3779b1) ^ Math.floor(node.clock / 50_000), 0x85ebca6b);
+    return ((mixed ^ (mixed >>> 13)) >>> 0) % limit;
   };
 const keyOf = (version: Version): string => `${version.term}.${version.index}`;
 const addressOf = (index: number): string => `127.0.0.${index + 1}:1`;
@@ -219,12 +221,12 @@
   }
 };
 
-const boot = (node: Node, founders: string[]): void => {
+const boot = (node: Node): void => {
   node.up = true;
   node.state = replica.create<Values>({
     id: node.id,
     at: node.at,
-    founders,
+    founders: node.founders,
     initial: [],
     timing: defaultTiming,
     term: node.disk.term,
@@ -296,6 +298,8 @@
   stop(node);
   node.id = `${node.id}'`;
   node.disk = { term: 0 };
+  // A machine is told of the founders at its first start only, unless the group is still to be formed.
+  if (model.chosen.length > 0) node.founders = [];
 };
 
 const performNode = (model: Model, action: Action & { at: string }): void => {
@@ -310,7 +314,7 @@
       writeToDisk(model, node);
       return stop(node);
     case 'restart':
-      return boot(node, []);
+      return boot(node);
     case 'wipe':
       return wipe(model, node);
     case 'disk-full':
@@ -444,7 +448,7 @@
 
 // --- runs
 
-const blank = (at: string, id: string): Node => ({
+const blank = (at: string, id: string, founders: string[]): Node => ({
   id,
   at,
   lives: 1,
@@ -454,12 +458,15 @@
   timers: [],
   calls: new Map(),
   nextCall: 1,
+  founders,
 });
 
 export const create = (members: number, spares: number): Model => {
-  const nodes = Array.from({ length: members + spares }, (_, i) => blank(addressOf(i), `n${i + 1}`));
-  const founders = nodes.slice(0, members).map((node) => node.at);
-  for (const [i, node] of nodes.entries()) boot(node, i < members ? founders : []);
+  const founders = Array.from({ length: members }, (_, i) => addressOf(i));
+  const nodes = Array.from({ length: members + spares }, (_, i) =>
+    blank(addressOf(i), `n${i + 1}`, i < members ? founders : []),
+  );
+  for (const node of nodes) boot(node);
   return {
     nodes,
     packets: new Map(),
@@ -487,7 +494,7 @@
   const now = Math.max(...model.nodes.map((node) => node.clock));
   for (const node of model.nodes) {
     node.clock = now;
-    if (!node.up) boot(node, []);
+    if (!node.up) boot(node);
   }
   run(model, ticks);
 };
--- a/packages/simulation/test/views.test.ts
+++ b/packages/simulation/test/views.test.ts
@@ -186,6 +186,14 @@
   await w.run(us.s(3));
   return { w, hosts, all, boot, head: () => all.findIndex((v, i) => hosts[i]!.alive && v.standing() === 'lead') };
 };
+/** What the leader reads, confirmed by a majority. */
+const agreedOf = async (x: Trio): Promise<Marked<List>> => {
+  let read: Marked<List> | undefined;
+  void x.all[x.head()]!.agreed().then((version) => (read = version));
+  await x.w.run(x.w.now() + us.ms(400));
+  assert.ok(read, 'no agreed state');
+  return read;
+};
 test('towers that have all started again have a head soon, and one of them only', async () => {
   for (let seed = 1; seed <= 30; seed++) {
     const x = await trio(seed);
@@ -247,4 +255,63 @@
     assert.equal(invariant.breaches(), []);
   }
 });
+test('a leader whose disk stalls for seconds is replaced within two and confirms nothing later', async () => {
+  for (let seed = 1; seed <= 10; seed++) {
+    const x = await trio(seed);
+    const { w } = x;
+    const stalled = x.head();
+    // A write takes 2.4 to 12 s.
+    x.hosts[stalled]!.disk.slow = 12_000;
+    const outcomes: string[] = [];
+    const propose = (at: number, text: string): void =>
+      void x.all[at]!.propose((s) => ({ state: { list: [...s.list, text] }, result: 0 })).then(
+        () => outcomes.push(`${text} confirmed`),
+        (e) => outcomes.push(`${text} ${fault.info(e).code}`),
+      );
+    propose(stalled, 'stalled');
+    await w.run(w.now() + us.s(2));
+    assert.equal(outcomes, ['stalled unknown'], `seed ${seed}: it has its answer`);
+    const next = x.all.findIndex((v, i) => i !== stalled && v.standing() === 'lead');
+    assert.ok(next >= 0, `seed ${seed}: no other leader within two seconds`);
+    propose(next, 'next');
+    await w.run(w.now() + us.s(3));
+    x.hosts[stalled]!.disk.slow = 1;
+    await w.run(w.now() + us.s(30));
+    assert.equal(outcomes, ['stalled unknown', 'next confirmed'], `seed ${seed}`);
+    assert.equal(
+      x.all.map((v) => v.done()?.state.list.includes('next')),
+      [true, true, true],
+      `seed ${seed}`,
+    );
+    assert.equal(invariant.breaches(), []);
+  }
+});
+test('coordinators that all start again five times in a row keep what was confirmed', async () => {
+  for (let seed = 1; seed <= 10; seed++) {
+    const x = await trio(seed);
+    const { w } = x;
+    const confirmed: string[] = [];
+    for (let life = 1; life <= 5; life++) {
+      const text = `life${life}`;
+      x.all[x.head()]!.propose((s) => ({ state: { list: [...s.list, text] }, result: 0 })).then(
+        () => confirmed.push(text),
+        () => undefined,
+      );
+      await w.run(w.now() + us.ms(20) + w.rand.int(us.ms(200)));
+      for (const h of x.hosts) w.kill(h, w.rand.int(2) ? 'power' : 'process');
+      await w.run(w.now() + us.ms(100));
+      for (const [i, h] of x.hosts.entries())
+        w.at(w.now() + w.rand.int(us.ms(300)), () => {
+          w.start(h);
+          void x.boot(i);
+        });
+      await w.run(w.now() + us.s(2));
+      assert.ok(x.head() >= 0, `seed ${seed}: no leader two seconds after start ${life}`);
+      const { state } = await agreedOf(x);
+      for (const one of confirmed) assert.ok(state.list.includes(one), `seed ${seed}: ${one} is lost after ${life}`);
+    }
+    assert.ok(confirmed.length > 2, `seed ${seed}: ${confirmed.length} confirmed`);
+    assert.equal(invariant.breaches(), []);
+  }
+});
 test.run();
