--- a/packages/simulation/src/guards.ts
+++ b/packages/simulation/src/guards.ts
@@ -280,7 +280,7 @@
     'consensus/src/follower.js',
     'message.to !== state.id || snapshot.term < state.term',
     'message.to !== state.id',
-    { test: 'simulation/test/views.test.js' },
+    { test: 'consensus/test/model.test.js' },
   ),
   g(
     'acknowledged means a majority has it',
