Consensus: after a close everyone that asks is answered

A closed replica ignored events, so a proposal, read or message that came in afterwards, or waited for the disk, was never answered. Proposals and reads get moved, messages a refusal.

--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -152,11 +152,28 @@
     case 'write-failed':
       return onWriteFailed(step, event.unchanged);
     case 'close':
-      stepDown(step, 'closing');
-      step.state.closed = true;
+      return close(step);
   }
 };
 
+/** Whoever waits for something gets an answer: nothing is answered after a close. */
+const close = <S>(step: Step<S>): void => {
+  const { state } = step;
+  stepDown(step, 'closing');
+  state.closed = true;
+  const continuation = state.writing?.continuation;
+  if (continuation && 'call' in continuation && continuation.call !== null)
+    step.effects.push({ type: 'refuse', call: continuation.call });
+  for (const event of state.deferred) refuseClosed(step, event);
+  state.deferred = [];
+};
+const refuseClosed = <S>(step: Step<S>, event: Event<S>): void => {
+  const outcome = { ok: false as const, code: 'moved' as const };
+  if (event.type === 'request') step.effects.push({ type: 'refuse', call: event.call });
+  else if (event.type === 'propose') step.effects.push({ type: 'proposal-outcome', proposal: event.proposal, outcome });
+  else if (event.type === 'read') step.effects.push({ type: 'read-outcome', read: event.read, outcome });
+};
+
 const handleDeferred = <S>(step: Step<S>): void => {
   const { state } = step;
   while (!state.writing) {
@@ -172,10 +189,10 @@
   /** Takes one event. The effects are to be carried out in their order; a write is answered by an event of its own. */
   step: <S>(state: ReplicaState<S>, event: Event<S>, now: Us, random: (limit: number) => number): Effect<S>[] => {
     const step: Step<S> = { state, now, random, effects: [] };
-    if (state.closed) return step.effects;
-    if (needsDisk(event) && state.writing) state.deferred.push(event);
+    if (state.closed) refuseClosed(step, event);
+    else if (needsDisk(event) && state.writing) state.deferred.push(event);
     else handle(step, event);
-    handleDeferred(step);
+    if (!state.closed) handleDeferred(step);
     return step.effects;
   },
   /** True while a quorum has confirmed this leader by a round that began within the lease. */
--- a/packages/consensus/test/model.test.ts
+++ b/packages/consensus/test/model.test.ts
@@ -5,7 +5,8 @@
 import { invariant } from '@thornsail/runtime';
 import { checkRecovers, create, drain, leaderOf, nodeActions, packetActions, perform } from './model.js';
 import { run, separate, settle } from './model.js';
-import type { Action, Model } from './model.js';
+import { replica } from '../src/replica.js';
+import type { Action, Model, Values } from './model.js';
 
 const chance = (seed: number): ((limit: number) => number) => {
   let a = seed * 2654435761;
@@ -210,6 +211,23 @@
   assert.is(leaderOf(model)?.state?.committed?.members.length, 4);
   assert.equal(model.problems, []);
 });
+test('after a close everyone that asks is answered', () => {
+  const { model, at } = formed(3, 0);
+  const { state, clock } = model.nodes.find((node) => node.at === at[0])!;
+  const feed = (event: Parameters<typeof replica.step<Values>>[1]): string[] =>
+    replica.step(state!, event, clock, () => 0).map((effect) => effect.type);
+  feed({ type: 'propose', proposal: 1, change: (values) => ({ state: values, result: 0 }) });
+  feed({ type: 'request', call: 1, from: at[1]!, message: { kind: 'vote', to: state!.id, term: 9 } });
+  assert.equal(
+    feed({ type: 'close' }).filter((type) => type !== 'log'),
+    ['proposal-outcome', 'refuse'],
+  );
+  assert.equal(feed({ type: 'propose', proposal: 2, change: (values) => ({ state: values, result: 0 }) }), [
+    'proposal-outcome',
+  ]);
+  assert.equal(feed({ type: 'read', read: 1 }), ['read-outcome']);
+  assert.equal(feed({ type: 'request', call: 2, from: at[1]!, message: { kind: 'discover' } }), ['refuse']);
+});
 test('founders that start in any order, one of them killed or emptied meanwhile, form one group', () => {
   let leaders = 0;
   for (let seed = 1; seed <= 600; seed++) {
