--- a/packages/simulation/src/measurement/capacity/messages.ts
+++ b/packages/simulation/src/measurement/capacity/messages.ts
@@ -40,7 +40,7 @@
   const rows: Record<string, Point[]> = {};
   const put = (name: string, x: number, y: number): void => void (rows[name] ??= []).push([x, y]);
   const span = sizes === 'small' ? 2 : 6;
-  const stirred = sizes === 'small' ? 1 : 4;
+  const stirred = 4;
   for (const edges of pick(sizes, [4, 8, 16, 32], [2, 3, 4, 5])) {
     const h = await hollow.open({ edges });
     if (!h) throw new Error(`${edges} edges did not come up`);
