--- a/packages/consensus/src/actions.ts
+++ b/packages/consensus/src/actions.ts
@@ -4,13 +4,19 @@
 import { changeRole } from './role.js';
 import type { Continuation, Member, Outstanding, RequestMessage, Snapshot, Step, WriteEffect } from './types.js';
 
+/** The given members without this replica. */
 export const otherMembers = <S>(step: Step<S>, members: readonly Member[]): Member[] =>
   members.filter((member) => member.id !== step.state.id);
 
+/** Asks for a line in the log. */
 export const log = <S>(step: Step<S>, text: string): void => {
   step.effects.push({ type: 'log', text });
 };
 
+/**
+ * Sends a request, which fails after `timeout` microseconds; `outstanding` says what its reply, or its failure, is
+ * for.
+ */
 export const send = <S>(
   step: Step<S>,
   at: Place,
@@ -29,8 +35,10 @@
   step.state.writing = { write: effect, continuation, startedAt: step.now };
   step.effects.push(effect);
 };
+/** Writes a term that this replica promises; `continuation` follows once it is synced. */
 export const writeTerm = <S>(step: Step<S>, term: number, continuation: Continuation<S>): void =>
   write(step, { type: 'write', document: 'term', term }, continuation);
+/** Writes a version, which must be newer than the accepted one; `continuation` follows once it is synced. */
 export const writeSnapshot = <S>(step: Step<S>, snapshot: Snapshot<S>, continuation: Continuation<S>): void => {
   const { term, accepted } = step.state;
   invariant.hold(snapshot.term >= term, `accepted term ${snapshot.term} below the promised ${term}`);
--- a/packages/consensus/src/configuration.ts
+++ b/packages/consensus/src/configuration.ts
@@ -29,6 +29,7 @@
   revision?: number;
   source?: unknown;
 };
+/** What came of a push, with the mark of the configuration that it made or met. */
 export type PushResult =
   | { ok: true; mark: number; repeated?: boolean }
   | { ok: false; why: 'collision'; mark: number }
@@ -61,6 +62,7 @@
 /** In characters of base64: 96 bits. */
 const digestLength = 16;
 
+/** Whether something has the shape of receipts; a state of a release without them passes too. */
 export const isReceipts = shape.maybe(
   shape.has({
     mark: shape.whole,
@@ -77,13 +79,13 @@
   return { base: Number(base), mark: Number(mark) };
 };
 /** The number that the next push has to build on. */
-const presentFor = (s: Ordered, push: Push): number =>
-  push.revision === undefined ? s.config.mark : (s.config.revision ?? 0);
+const presentFor = (ordered: Ordered, push: Push): number =>
+  push.revision === undefined ? ordered.config.mark : (ordered.config.revision ?? 0);
 
 /** Of what was accepted without a receipt, by a release before this one, nothing but the kept ids is known. */
-const receiptsOf = (s: Ordered): Receipts => {
-  const { mark, revision = 0 } = s.config;
-  const kept = s.receipts;
+const receiptsOf = (ordered: Ordered): Receipts => {
+  const { mark, revision = 0 } = ordered.config;
+  const kept = ordered.receipts;
   if (kept?.mark === mark) return kept;
   return {
     mark,
@@ -105,16 +107,16 @@
 };
 
 /** What is known of a push before it is judged: null where it is new, or may be accepted. */
-const known = (s: Ordered, push: Push): PushResult | null => {
-  const { mark } = s.config;
-  const kept = s.pushes.find((x) => x.id === push.id);
+const known = (ordered: Ordered, push: Push): PushResult | null => {
+  const { mark } = ordered.config;
+  const kept = ordered.pushes.find((earlier) => earlier.id === push.id);
   if (kept) return { ok: true, mark: kept.mark, repeated: true };
-  const receipts = receiptsOf(s);
+  const receipts = receiptsOf(ordered);
   const digest = digestOf(push);
   const same = receipts.accepted.find((receipt) => receipt.endsWith(` ${digest}`));
   if (same) return { ok: true, mark: parsedReceipt(same).mark, repeated: true };
   if (receipts.refused.includes(digest)) return { ok: false, why: 'collision', mark };
-  const present = presentFor(s, push);
+  const present = presentFor(ordered, push);
   if (push.base === present) return null;
   const { forgotten } = receipts;
   const isForgotten = push.revision === undefined ? push.base < forgotten.mark : push.base <= forgotten.base;
@@ -122,11 +124,11 @@
 };
 
 type Judged = { ok: true; raw: unknown; value: Config } | { ok: false; problems: Problem[] };
-const judged = (s: Ordered, push: Push): Judged => {
-  const present = presentFor(s, push);
+const judged = (ordered: Ordered, push: Push): Judged => {
+  const present = presentFor(ordered, push);
   if (push.revision !== undefined && push.revision <= present)
     return { ok: false, problems: [{ path: 'revision', text: `must be above ${present}` }] };
-  const next = chart.change(s.config.raw ?? {}, push.how, push.body);
+  const next = chart.change(ordered.config.raw ?? {}, push.how, push.body);
   if (!next.ok) return next;
   const checked = chart.check(next.value);
   return checked.ok ? { ok: true, raw: next.value, value: checked.value } : checked;
@@ -144,43 +146,47 @@
   return out;
 };
 
-const accepted = (s: Ordered, push: Push, next: { raw: unknown; value: Config }, at: Us): Ordered => {
-  const mark = s.config.mark + 1;
+const accepted = (ordered: Ordered, push: Push, next: { raw: unknown; value: Config }, at: Us): Ordered => {
+  const mark = ordered.config.mark + 1;
   // Who hands in sources of his own keeps them himself, and goes back by pushing one again.
-  const past = push.source === undefined ? [...s.config.history, { mark, at, push: push.id, raw: next.raw }] : [];
+  const past = push.source === undefined ? [...ordered.config.history, { mark, at, push: push.id, raw: next.raw }] : [];
   return {
-    ...s,
+    ...ordered,
     config: {
       mark,
       raw: next.raw,
       value: next.value,
       history: newestOf(past),
-      revision: push.revision ?? s.config.revision ?? 0,
+      revision: push.revision ?? ordered.config.revision ?? 0,
       source: push.source ?? null,
     },
-    pushes: [...s.pushes, { id: push.id, mark }].slice(-idsKept),
-    receipts: withAccepted(receiptsOf(s), receiptOf(push.base, mark, digestOf(push))),
+    pushes: [...ordered.pushes, { id: push.id, mark }].slice(-idsKept),
+    receipts: withAccepted(receiptsOf(ordered), receiptOf(push.base, mark, digestOf(push))),
   };
 };
-const withRefused = (s: Ordered, push: Push): Ordered => {
-  const receipts = receiptsOf(s);
+const withRefused = (ordered: Ordered, push: Push): Ordered => {
+  const receipts = receiptsOf(ordered);
   const digest = digestOf(push);
-  if (push.base <= presentFor(s, push) || receipts.refused.includes(digest)) return s;
-  return { ...s, receipts: { ...receipts, refused: [...receipts.refused, digest].slice(-refusedKept) } };
+  if (push.base <= presentFor(ordered, push) || receipts.refused.includes(digest)) return ordered;
+  return { ...ordered, receipts: { ...receipts, refused: [...receipts.refused, digest].slice(-refusedKept) } };
 };
 
+/** Changes of the configuration and questions about them: pure functions of the ordered state (§7.2). */
 export const configuration = {
   /** What is known of a push that may have been sent before, without its being judged; null where it is not known. */
   known,
 
   /** A push is judged against its base and has one effect however often it is repeated (§7.2). */
-  push: (s: Ordered, push: Push, at: Us): { state: Ordered; result: PushResult } => {
-    const before = known(s, push);
-    if (before) return { state: before.ok ? s : withRefused(s, push), result: before };
-    const next = judged(s, push);
+  push: (ordered: Ordered, push: Push, at: Us): { state: Ordered; result: PushResult } => {
+    const before = known(ordered, push);
+    if (before) return { state: before.ok ? ordered : withRefused(ordered, push), result: before };
+    const next = judged(ordered, push);
     if (!next.ok)
-      return { state: s, result: { ok: false, why: 'invalid', mark: s.config.mark, problems: next.problems } };
-    const state = accepted(s, push, next, at);
+      return {
+        state: ordered,
+        result: { ok: false, why: 'invalid', mark: ordered.config.mark, problems: next.problems },
+      };
+    const state = accepted(ordered, push, next, at);
     return { state, result: { ok: true, mark: state.config.mark } };
   },
 
@@ -188,10 +194,10 @@
    * The state as news for all nodes (§3.5): only members of the core need what a push is judged by, and it is most of
    * the bytes. A reader who needs it asks the core.
    */
-  forNodes: (s: Ordered): Ordered => {
-    const { mark, value, revision } = s.config;
+  forNodes: (ordered: Ordered): Ordered => {
+    const { mark, value, revision } = ordered.config;
     const config = { mark, raw: null, value, history: [], source: null };
-    const { receipts: _, ...rest } = s;
+    const { receipts: _, ...rest } = ordered;
     return { ...rest, config: revision === undefined ? config : { ...config, revision }, pushes: [] };
   },
 };
--- a/packages/consensus/src/driver.ts
+++ b/packages/consensus/src/driver.ts
@@ -7,6 +7,7 @@
 import type { ReplyMessage, RequestMessage, Role, Snapshot, Timing, WriteEffect } from './types.js';
 import * as wire from './wire.js';
 
+/** A running member of the group. Times are in microseconds, indices grow by one with each version. */
 export type Consensus<S> = {
   id: string;
   role: () => Role;
@@ -22,6 +23,7 @@
   readAgreed: () => Promise<Snapshot<S>>;
   close: () => void;
 };
+/** What a member needs: its clock and chance, its connections, its disk, and the state to start from. */
 export type ConsensusOptions<S> = {
   lens: Lens;
   pipe: Pipe;
@@ -182,24 +184,30 @@
     });
 };
 
-const open = async <S>(options: ConsensusOptions<S>): Promise<Consensus<S>> => {
-  const { lens, pipe, book } = options;
-  const log = lens.log('tower');
-  await logbook.sound(book, log);
-  const stored = await load<S>(book, () => `tower-${lens.rand.id()}`);
-  const timing = { ...defaultTiming, ...options.timing };
-  const state = replica.create<S>({
+const createState = <S>(
+  { lens, pipe, founders, initial }: ConsensusOptions<S>,
+  stored: Stored<S>,
+  timing: Timing,
+): ReplicaState<S> =>
+  replica.create<S>({
     id: stored.id,
     at: pipe.at,
-    founders: options.founders,
-    initial: options.initial,
+    founders,
+    initial,
     timing,
     term: stored.term,
     accepted: stored.accepted,
     now: lens.clock.now(),
     random: (limit) => lens.rand.int(limit),
   });
-  let { fileMark } = stored;
+
+const openIo = <S>(
+  options: ConsensusOptions<S>,
+  state: ReplicaState<S>,
+  lastFileMark: number,
+  log: (text: string) => void,
+): Io<S> => {
+  let fileMark = lastFileMark;
   const io: Io<S> = {
     options,
     isState: options.isState ?? (() => true),
@@ -218,6 +226,17 @@
     reads: waitingCalls(),
     nextFileMark: () => ++fileMark,
   };
+  return io;
+};
+
+const open = async <S>(options: ConsensusOptions<S>): Promise<Consensus<S>> => {
+  const { lens, book } = options;
+  const log = lens.log('tower');
+  await logbook.sound(book, log);
+  const stored = await load<S>(book, () => `tower-${lens.rand.id()}`);
+  const timing = { ...defaultTiming, ...options.timing };
+  const state = createState(options, stored, timing);
+  const io = openIo(options, state, stored.fileMark, log);
   serve(io);
   const stops = [
     time.every(lens.clock, timing.heartbeat, async () => io.dispatch({ type: 'heartbeat-due' })),
@@ -242,4 +261,5 @@
   };
 };
 
+/** Starts a member from its documents on disk. Rejects with the error of the disk where these cannot be read. */
 export const consensus = { open };
--- a/packages/consensus/src/election.ts
+++ b/packages/consensus/src/election.ts
@@ -64,6 +64,7 @@
     { kind: 'append', member, snapshot, catchUp: true },
   );
 
+/** Counts an answer to a pre-vote; a failed request (`undefined`) counts as no. */
 export const onPreVoteReply = <S>(
   step: Step<S>,
   request: Outstanding<S> & { kind: 'pre-vote' },
@@ -130,6 +131,7 @@
   if (step.state.role === 'candidate') changeRole(step, 'stepped-down');
 };
 
+/** Counts an answer to a vote; a failed request (`undefined`) counts as no. */
 export const onVoteReply = <S>(
   step: Step<S>,
   request: Outstanding<S> & { kind: 'vote' },
@@ -179,4 +181,5 @@
   replicate(step, { snapshot, outcomes: [] });
 };
 
+/** The candidate's term or first version was not written: it is a follower again. */
 export const onElectionWriteFailed = <S>(step: Step<S>): void => abandon(step);
--- a/packages/consensus/src/follower.ts
+++ b/packages/consensus/src/follower.ts
@@ -117,6 +117,7 @@
   step.effects.push({ type: 'reply', call, reply: { kind: 'vote', ok: true, term, accepted: state.accepted } });
 };
 
+/** Accepts version 0 with the given members; `call` is null where no request asked for it. */
 export const formGroup = <S>(
   step: Step<S>,
   call: number | null,
@@ -153,6 +154,7 @@
 export const needsDisk = <S>(event: Event<S>): boolean =>
   event.type === 'request' && !['pre-vote', 'discover', 'resign'].includes(event.message.kind);
 
+/** Handles a request of another member; its answer is an effect of this step, or of a later one. */
 export const onRequest = <S>(step: Step<S>, event: Event<S> & { type: 'request' }): void => {
   const { call, from, message } = event;
   switch (message.kind) {
--- a/packages/consensus/src/founding.ts
+++ b/packages/consensus/src/founding.ts
@@ -4,6 +4,7 @@
 import type { Place } from '@thornsail/runtime';
 import type { DiscoverReply, Step } from './types.js';
 
+/** Asks the other founders who they are, unless this replica is a member or is asking already. */
 export const discover = <S>(step: Step<S>): void => {
   const { state } = step;
   if (state.accepted || state.founders.length === 0 || state.discovery || state.writing) return;
@@ -14,6 +15,7 @@
   settleDiscovery(step);
 };
 
+/** Takes the answer of the founder at an address; a failed request (`undefined`) leaves the group unformed. */
 export const onDiscoverReply = <S>(step: Step<S>, at: Place, reply: DiscoverReply | undefined): void => {
   const { discovery } = step.state;
   if (!discovery) return;
--- a/packages/consensus/src/group-duties.ts
+++ b/packages/consensus/src/group-duties.ts
@@ -3,109 +3,146 @@
 import type { Clock, Us } from '@thornsail/runtime';
 import { groups } from './groups.js';
 import { order, type NodeEntry, type Ordered } from './order.js';
-import { presence, sparesOf, spreadOver } from './presence.js';
+import { presence, sparesOf, spreadOver, type Presence } from './presence.js';
 import { repair, type ReplicaGroup, type RepairStep } from './repair.js';
 import type { Marked, Member, Views } from './views.js';
 
+/** How many members each group should have. */
 export type GroupSizes = { keepers: number; towers: number };
+/** The duties as the leader runs them. */
 export type GroupDuties = {
   /** Takes the steps that are due, until there is none; a call while one runs makes it look once more. */
   act: () => Promise<void>;
   /** Whether the keeper group's last change is complete and no further one is due (§6.5). */
-  keepersRepaired: (s: Ordered) => boolean;
+  keepersRepaired: (ordered: Ordered) => boolean;
 };
-const memberOf = (n: NodeEntry): Member => ({ id: n.id, at: n.place });
+type DutyOptions = {
+  clock: Clock;
+  views: Views<Ordered>;
+  sizes: GroupSizes;
+  /** How long a member is missed before a spare takes its place, in microseconds. */
+  replaceAfter: Us;
+  log: (text: string) => void;
+};
+type Duty = (version: Marked<Ordered>) => Promise<boolean>;
 
-export const groupDuties = {
-  open: (o: {
-    clock: Clock;
-    views: Views<Ordered>;
-    sizes: GroupSizes;
-    replaceAfter: Us;
-    log: (text: string) => void;
-  }): GroupDuties => {
-    const { views, sizes, log } = o;
-    const present = presence.open(o);
-    const groupOf = (s: Ordered, members: Member[], spares: NodeEntry[], size: number): ReplicaGroup => ({
-      members: members.map((m) => ({ id: m.id, condition: present.condition(s, m, spares, members.length) })),
-      spares: spares.map((n) => n.id),
-      size,
-      settled: true,
+const memberOf = (node: NodeEntry): Member => ({ id: node.id, at: node.place });
+
+/** Both groups as the repair sees them. */
+type GroupReader = {
+  keepers: (ordered: Ordered) => ReplicaGroup;
+  towers: (ordered: Ordered, members: Member[]) => ReplicaGroup;
+};
+const groupReader = (present: Presence, sizes: GroupSizes): GroupReader => {
+  const groupOf = (ordered: Ordered, members: Member[], spares: NodeEntry[], size: number): ReplicaGroup => ({
+    members: members.map((member) => ({
+      id: member.id,
+      condition: present.condition(ordered, member, spares, members.length),
+    })),
+    spares: spares.map((node) => node.id),
+    size,
+    settled: true,
+  });
+  return {
+    keepers: (ordered) => {
+      const { members, mark, swept } = ordered.keepers;
+      const group = groupOf(ordered, members, sparesOf(ordered, 'keeper', members), sizes.keepers);
+      return { ...group, settled: mark > 0 && swept === mark };
+    },
+    towers: (ordered, members) => groupOf(ordered, members, sparesOf(ordered, 'tower', members), sizes.towers),
+  };
+};
+
+const keeperFormation =
+  ({ views, sizes }: DutyOptions): Duty =>
+  async ({ state }) => {
+    const live = order.live(state, 'keeper').filter((node) => node.standing === 'live');
+    if (state.keepers.mark !== 0 || live.length < sizes.keepers) return false;
+    const first = spreadOver(live, []).slice(0, sizes.keepers).map(memberOf);
+    await views.propose((ordered) => groups.form(ordered, first));
+    return true;
+  };
+
+const logStep = ({ log }: DutyOptions, role: string, ordered: Ordered, step: RepairStep): void => {
+  const name = ordered.roster[step.id]?.name ?? '';
+  log(`${role} ${name} (${step.id}): ${step.change} in its group, ${step.why}.`);
+};
+/** A step is judged again on the state that it changes. */
+const isStillNext = (step: RepairStep, group: ReplicaGroup): boolean => {
+  const next = repair.next(group);
+  return next?.id === step.id && next.change === step.change;
+};
+
+const keeperRepair =
+  (options: DutyOptions, reader: GroupReader): Duty =>
+  async ({ state }) => {
+    const step = repair.next(reader.keepers(state));
+    if (!step) return false;
+    logStep(options, 'keeper', state, step);
+    await options.views.propose((ordered) => {
+      if (!isStillNext(step, reader.keepers(ordered))) return { state: ordered, result: false };
+      return step.change === 'remove'
+        ? groups.change(ordered, { remove: step.id })
+        : groups.change(ordered, { add: memberOf(ordered.roster[step.id]!) });
     });
-    const keeperGroup = (s: Ordered): ReplicaGroup => ({
-      ...groupOf(s, s.keepers.members, sparesOf(s, 'keeper', s.keepers.members), sizes.keepers),
-      settled: s.keepers.mark > 0 && s.keepers.swept === s.keepers.mark,
+    return true;
+  };
+
+const towerRepair =
+  (options: DutyOptions, reader: GroupReader): Duty =>
+  async (version) => {
+    const step = repair.next(reader.towers(version.state, version.members));
+    if (!step) return false;
+    logStep(options, 'tower', version.state, step);
+    await options.views.propose((ordered, members) => {
+      if (!isStillNext(step, reader.towers(ordered, members))) return { state: ordered, result: false };
+      const next =
+        step.change === 'remove'
+          ? members.filter((member) => member.id !== step.id)
+          : [...members, memberOf(ordered.roster[step.id]!)];
+      return { state: ordered, members: next, result: true };
     });
-    const towerGroup = (s: Ordered, members: Member[]): ReplicaGroup =>
-      groupOf(s, members, sparesOf(s, 'tower', members), sizes.towers);
+    return true;
+  };
 
-    const formKeepers = async (v: Marked<Ordered>): Promise<boolean> => {
-      const live = order.live(v.state, 'keeper').filter((n) => n.standing === 'live');
-      if (v.state.keepers.mark !== 0 || live.length < sizes.keepers) return false;
-      const first = spreadOver(live, []).slice(0, sizes.keepers).map(memberOf);
-      await views.propose((s) => groups.form(s, first));
-      return true;
-    };
-    const tell = (role: string, s: Ordered, step: RepairStep): void => {
-      const name = s.roster[step.id]?.name ?? '';
-      log(`${role} ${name} (${step.id}): ${step.change} in its group, ${step.why}.`);
-    };
-    const repairKeepers = async (v: Marked<Ordered>): Promise<boolean> => {
-      const step = repair.next(keeperGroup(v.state));
-      if (!step) return false;
-      tell('keeper', v.state, step);
-      await views.propose((s) => {
-        // Judged again on the state that it changes.
-        const now = repair.next(keeperGroup(s));
-        if (now?.id !== step.id || now.change !== step.change) return { state: s, result: false };
-        return step.change === 'remove'
-          ? groups.change(s, { remove: step.id })
-          : groups.change(s, { add: memberOf(s.roster[step.id]!) });
-      });
-      return true;
-    };
-    const repairTowers = async (v: Marked<Ordered>): Promise<boolean> => {
-      const step = repair.next(towerGroup(v.state, v.members));
-      if (!step) return false;
-      tell('tower', v.state, step);
-      await views.propose((s, members) => {
-        const now = repair.next(towerGroup(s, members));
-        if (now?.id !== step.id || now.change !== step.change) return { state: s, result: false };
-        const next =
-          step.change === 'remove'
-            ? members.filter((m) => m.id !== step.id)
-            : [...members, memberOf(s.roster[step.id]!)];
-        return { state: s, members: next, result: true };
-      });
-      return true;
-    };
+/** Runs `once` until it gives false; a call while it runs makes it run once more. */
+const untilDone = (once: () => Promise<boolean>): (() => Promise<void>) => {
+  let running: Promise<void> | undefined;
+  let again = false;
+  const run = async (): Promise<void> => {
+    do {
+      again = false;
+      while (await once());
+    } while (again);
+  };
+  return () => {
+    again = true;
+    running ??= run().finally(() => {
+      running = undefined;
+    });
+    return running;
+  };
+};
+
+/** Opens the duties to both groups. They act on the leader alone. */
+export const groupDuties = {
+  open: (options: DutyOptions): GroupDuties => {
+    const { views, sizes } = options;
+    const reader = groupReader(presence.open(options), sizes);
+    const duties = [keeperFormation(options), keeperRepair(options, reader), towerRepair(options, reader)];
     /** One step for each group; false if nothing was due. */
     const once = async (): Promise<boolean> => {
-      const v = views.done();
-      if (views.standing() !== 'lead' || !v) return false;
-      const [formed, keepers, towers] = await Promise.all([formKeepers(v), repairKeepers(v), repairTowers(v)]);
-      return formed || keepers || towers;
-    };
-    let running: Promise<void> | undefined;
-    let again = false;
-    const run = async (): Promise<void> => {
-      do {
-        again = false;
-        while (await once());
-      } while (again);
+      const version = views.done();
+      if (views.standing() !== 'lead' || !version) return false;
+      const taken = await Promise.all(duties.map((duty) => duty(version)));
+      return taken.includes(true);
     };
     return {
-      keepersRepaired: (s) => {
-        const group = keeperGroup(s);
+      keepersRepaired: (ordered) => {
+        const group = reader.keepers(ordered);
         return group.settled && repair.next(group) === undefined;
       },
-      act: () => {
-        again = true;
-        running ??= run().finally(() => {
-          running = undefined;
-        });
-        return running;
-      },
+      act: untilDone(once),
     };
   },
 };
--- a/packages/consensus/src/groups.ts
+++ b/packages/consensus/src/groups.ts
@@ -5,45 +5,47 @@
 
 /** `swept`: the newest mark under which every record was on a majority; `draining`: those asked to leave. */
 export type KeeperGroup = { mark: number; members: Member[]; swept: number; draining: string[] };
+/** A change of the keeper group by one member: `add` a new one, or `remove` one by its identity. */
 export type GroupChange = { add: Member } | { remove: string };
 type Outcome = { state: Ordered; result: boolean };
 
 /** Fewer members than this hold no majority that survives a change. */
 export const leastMembers = 2;
 
+/** Changes of the keeper group. Each gives the state after it; `result` is false where it was refused. */
 export const groups = {
   /** One member in or out; the next change waits until the sweep under this mark is complete (§6.5). */
-  change: (s: Ordered, change: GroupChange): Outcome => {
-    const group = s.keepers;
-    if (group.mark !== 0 && group.swept !== group.mark) return { state: s, result: false };
-    const has = (id: string): boolean => group.members.some((m) => m.id === id);
-    if ('add' in change ? has(change.add.id) : !has(change.remove)) return { state: s, result: false };
+  change: (ordered: Ordered, change: GroupChange): Outcome => {
+    const group = ordered.keepers;
+    if (group.mark !== 0 && group.swept !== group.mark) return { state: ordered, result: false };
+    const has = (id: string): boolean => group.members.some((member) => member.id === id);
+    if ('add' in change ? has(change.add.id) : !has(change.remove)) return { state: ordered, result: false };
     const members =
-      'add' in change ? [...group.members, change.add] : group.members.filter((m) => m.id !== change.remove);
+      'add' in change ? [...group.members, change.add] : group.members.filter((member) => member.id !== change.remove);
     invariant.hold(Math.abs(members.length - group.members.length) === 1, 'a keeper group changes by one');
     invariant.hold(
       members.length >= leastMembers || group.members.length < leastMembers,
       'a keeper group never falls to one',
     );
-    return { state: { ...s, keepers: { ...group, mark: group.mark + 1, members } }, result: true };
+    return { state: { ...ordered, keepers: { ...group, mark: group.mark + 1, members } }, result: true };
   },
-  form: (s: Ordered, members: Member[]): Outcome => {
-    if (s.keepers.mark !== 0) return { state: s, result: false };
-    return { state: { ...s, keepers: { mark: 1, members, swept: 1, draining: [] } }, result: true };
+  form: (ordered: Ordered, members: Member[]): Outcome => {
+    if (ordered.keepers.mark !== 0) return { state: ordered, result: false };
+    return { state: { ...ordered, keepers: { mark: 1, members, swept: 1, draining: [] } }, result: true };
   },
-  swept: (s: Ordered, mark: number): Outcome =>
-    s.keepers.mark === mark && s.keepers.swept < mark
-      ? { state: { ...s, keepers: { ...s.keepers, swept: mark } }, result: true }
-      : { state: s, result: false },
+  swept: (ordered: Ordered, mark: number): Outcome =>
+    ordered.keepers.mark === mark && ordered.keepers.swept < mark
+      ? { state: { ...ordered, keepers: { ...ordered.keepers, swept: mark } }, result: true }
+      : { state: ordered, result: false },
   /** Refused if the group and its spares, without those that leave, would fall below `least`. */
-  drain: (s: Ordered, id: string, on: boolean, least = 0): Outcome => {
-    const { draining } = s.keepers;
-    if (draining.includes(id) === on) return { state: s, result: true };
-    const staying = Object.values(s.roster).filter(
-      (n) => n.role === 'keeper' && n.standing === 'live' && n.id !== id && !draining.includes(n.id),
+  drain: (ordered: Ordered, id: string, on: boolean, least = 0): Outcome => {
+    const { draining } = ordered.keepers;
+    if (draining.includes(id) === on) return { state: ordered, result: true };
+    const staying = Object.values(ordered.roster).filter(
+      (node) => node.role === 'keeper' && node.standing === 'live' && node.id !== id && !draining.includes(node.id),
     );
-    if (on && staying.length < least) return { state: s, result: false };
-    const next = on ? [...draining, id] : draining.filter((x) => x !== id);
-    return { state: { ...s, keepers: { ...s.keepers, draining: next } }, result: true };
+    if (on && staying.length < least) return { state: ordered, result: false };
+    const next = on ? [...draining, id] : draining.filter((other) => other !== id);
+    return { state: { ...ordered, keepers: { ...ordered.keepers, draining: next } }, result: true };
   },
 };
--- a/packages/consensus/src/leader.ts
+++ b/packages/consensus/src/leader.ts
@@ -134,11 +134,13 @@
   step.effects.push({ type: 'timer', after: ownWriteLimit(state.lastWriteTook) + 1, event: { type: 'tick' } });
 };
 
+/** Queues a proposal; a replica that is not the leader answers it with `moved`. */
 export const propose = <S>(step: Step<S>, proposal: Proposal<S>): void => {
   if (step.state.role === 'leader') step.state.queue.push(proposal);
   else settleProposals(step, [proposal], 'moved');
 };
 
+/** Counts an acknowledged version, yields to a higher term, or retries after a failed request (`undefined`). */
 export const onAppendReply = <S>(
   step: Step<S>,
   request: Outstanding<S> & { kind: 'append' },
@@ -164,6 +166,7 @@
     });
 };
 
+/** Sends a version once more to a member that has not acknowledged it, while it is still under way. */
 export const retryAppend = <S>(step: Step<S>, memberId: string, term: number, index: number): void => {
   const { state } = step;
   const snapshot = state.replication?.snapshot;
@@ -191,6 +194,7 @@
   return others.filter((member) => replication?.acknowledged.includes(member.id));
 };
 
+/** Begins a round of heartbeats; the reads are answered once a quorum has acknowledged it. */
 export const sendHeartbeats = <S>(step: Step<S>, reads: HeartbeatRound<S>['reads'] = []): void => {
   const { state } = step;
   if (state.role !== 'leader' || !state.accepted) return;
@@ -244,6 +248,7 @@
   send(step, member.at, message, timeout, { kind: 'append', member, snapshot: accepted, catchUp: true });
 };
 
+/** Counts a member's answer to a round; sends the newest version to a member that lacks it. */
 export const onHeartbeatReply = <S>(
   step: Step<S>,
   request: Outstanding<S> & { kind: 'heartbeat' },
@@ -272,6 +277,7 @@
   else sendHeartbeats(step, [{ read, snapshot: committed }]);
 };
 
+/** Sends the regular heartbeats; steps down after `quorumTimeout` without a quorum. */
 export const onHeartbeatDue = <S>(step: Step<S>): void => {
   const { state } = step;
   if (state.role !== 'leader') return;
@@ -279,6 +285,7 @@
   if (!writesOwn) sendHeartbeats(step);
   if (step.now - state.quorumAt > state.timing.quorumTimeout) stepDown(step, 'no quorum heard');
 };
+/** Steps down where a version has been under way for longer than `quorumTimeout`. */
 export const checkReplication = <S>(step: Step<S>): void => {
   const { replication, timing } = step.state;
   if (replication && step.now - replication.startedAt > timing.quorumTimeout) stepDown(step, 'no quorum');
--- a/packages/consensus/src/presence.ts
+++ b/packages/consensus/src/presence.ts
@@ -8,11 +8,11 @@
 const isAlive = (entry: NodeEntry | undefined): boolean => entry !== undefined && entry.standing !== 'dead';
 
 /** Whether another identity has taken a member's address since: a machine that lost its disk is not the one it was. */
-export const isGone = (s: Ordered, member: Member): boolean => {
-  const entry = s.roster[member.id];
+export const isGone = (ordered: Ordered, member: Member): boolean => {
+  const entry = ordered.roster[member.id];
   if (isAlive(entry)) return false;
   const at = entry?.place ?? member.at;
-  return Object.values(s.roster).some(
+  return Object.values(ordered.roster).some(
     (other) =>
       other.id !== member.id &&
       other.place === at &&
@@ -21,53 +21,55 @@
 };
 /** A spare that joined so shortly before a member was ruled dead, or after it, was started in that member's stead. */
 const successorWithin = us.s(10);
-const hasSuccessor = (s: Ordered, member: Member, spares: NodeEntry[]): boolean => {
-  const entry = s.roster[member.id];
+const hasSuccessor = (ordered: Ordered, member: Member, spares: NodeEntry[]): boolean => {
+  const entry = ordered.roster[member.id];
   return entry !== undefined && spares.some((spare) => spare.since > entry.since - successorWithin);
 };
 
 /** Those whose zone holds no member yet come first. */
 export const spreadOver = (nodes: NodeEntry[], zones: string[]): NodeEntry[] => {
   const seen = new Set(zones);
-  const first = nodes.filter((n) => !seen.has(n.zone) && seen.add(n.zone) !== undefined);
-  return [...first, ...nodes.filter((n) => !first.includes(n))];
+  const first = nodes.filter((node) => !seen.has(node.zone) && seen.add(node.zone) !== undefined);
+  return [...first, ...nodes.filter((node) => !first.includes(node))];
 };
 /** Live nodes of a role that are no members and were not asked to leave, in the order in which they should join. */
-export const sparesOf = (s: Ordered, role: NodeRole, members: Member[]): NodeEntry[] => {
-  const live = order.live(s, role).filter((n) => n.standing === 'live');
-  const isMember = (n: NodeEntry): boolean => members.some((m) => m.id === n.id);
-  const zones = live.filter(isMember).map((n) => n.zone);
+export const sparesOf = (ordered: Ordered, role: NodeRole, members: Member[]): NodeEntry[] => {
+  const live = order.live(ordered, role).filter((node) => node.standing === 'live');
+  const isMember = (node: NodeEntry): boolean => members.some((member) => member.id === node.id);
+  const zones = live.filter(isMember).map((node) => node.zone);
   return spreadOver(
-    live.filter((n) => !isMember(n) && !s.keepers.draining.includes(n.id)),
+    live.filter((node) => !isMember(node) && !ordered.keepers.draining.includes(node.id)),
     zones,
   );
 };
 
+/** The leader's view of the members of the groups. */
 export type Presence = {
   /** `spares` are those that could take the member's place, `size` is how many members there are. */
-  condition: (s: Ordered, member: Member, spares: NodeEntry[], size: number) => Condition;
+  condition: (ordered: Ordered, member: Member, spares: NodeEntry[], size: number) => Condition;
 };
+/** Judges the conditions of members. What it remembers is lost with the process. */
 export const presence = {
   /** Silent members are overdue after `replaceAfter`; walls may differ, so a new leader counts anew. */
-  open: (o: { clock: Clock; replaceAfter: Us }): Presence => {
+  open: (options: { clock: Clock; replaceAfter: Us }): Presence => {
     const silentSince = new Map<string, Us>();
     const silentFor = (id: string): Us => {
-      const since = silentSince.get(id) ?? o.clock.now();
+      const since = silentSince.get(id) ?? options.clock.now();
       silentSince.set(id, since);
-      return o.clock.now() - since;
+      return options.clock.now() - since;
     };
     return {
-      condition: (s, member, spares, size) => {
-        if (isAlive(s.roster[member.id])) {
+      condition: (ordered, member, spares, size) => {
+        if (isAlive(ordered.roster[member.id])) {
           silentSince.delete(member.id);
           // One whose process ends in order stays a member unless a spare is there, or the group bears more without it:
           // it may start again with its disk.
-          const ends = s.roster[member.id]!.standing === 'leaving' && (spares.length > 0 || size % 2 === 0);
-          return ends || s.keepers.draining.includes(member.id) ? 'leaving' : 'serving';
+          const ends = ordered.roster[member.id]!.standing === 'leaving' && (spares.length > 0 || size % 2 === 0);
+          return ends || ordered.keepers.draining.includes(member.id) ? 'leaving' : 'serving';
         }
-        if (isGone(s, member)) return 'gone';
-        const waited = silentFor(member.id) > o.replaceAfter;
-        return waited || hasSuccessor(s, member, spares) ? 'overdue' : 'silent';
+        if (isGone(ordered, member)) return 'gone';
+        const waited = silentFor(member.id) > options.replaceAfter;
+        return waited || hasSuccessor(ordered, member, spares) ? 'overdue' : 'silent';
       },
     };
   },
--- a/packages/consensus/src/repair.ts
+++ b/packages/consensus/src/repair.ts
@@ -7,7 +7,9 @@
  * is at its address.
  */
 export type Condition = 'serving' | 'leaving' | 'silent' | 'overdue' | 'gone';
+/** A member by its identity. */
 export type ReplicaMember = { id: string; condition: Condition };
+/** A group of replicas as its leader sees it. */
 export type ReplicaGroup = {
   members: ReplicaMember[];
   /** Identities that may join, the best first. */
@@ -17,54 +19,58 @@
   /** Whether the last change is complete: everything decided before it is on a majority of these members. */
   settled: boolean;
 };
+/** A change of one member by its identity; `why` is text for the log. */
 export type RepairStep = { change: 'add' | 'remove'; id: string; why: string };
 
 /** A group of fewer has no majority that could bear the next change. */
 export const leastReplicas = 2;
+/** The smallest number that is more than half of `count`. */
 export const majorityOf = (count: number): number => Math.floor(count / 2) + 1;
-const answers = (m: ReplicaMember): boolean => m.condition === 'serving' || m.condition === 'leaving';
+const answers = (member: ReplicaMember): boolean => member.condition === 'serving' || member.condition === 'leaving';
 
 /** One that is gone counts for nothing, and its place in the quorum is freed before anything else is done. */
-const removeGone = (g: ReplicaGroup): RepairStep | undefined => {
-  const gone = g.members.find((m) => m.condition === 'gone');
-  if (!gone || g.members.length - 1 < leastReplicas) return undefined;
+const removeGone = (group: ReplicaGroup): RepairStep | undefined => {
+  const gone = group.members.find((member) => member.condition === 'gone');
+  if (!gone || group.members.length - 1 < leastReplicas) return undefined;
   return { change: 'remove', id: gone.id, why: 'its address has a new identity' };
 };
 /** An even group gains by getting smaller: it bears as many losses with a smaller majority. */
-const isEven = (g: ReplicaGroup): boolean => g.members.length % 2 === 0;
+const isEven = (group: ReplicaGroup): boolean => group.members.length % 2 === 0;
 /**
  * One that may come back is removed only where a spare can take its place, or where the group bears more without it,
  * and the others can complete the change.
  */
-const removeOverdue = (g: ReplicaGroup): RepairStep | undefined => {
-  const overdue = g.members.find((m) => m.condition === 'overdue');
-  const left = g.members.length - 1;
+const removeOverdue = (group: ReplicaGroup): RepairStep | undefined => {
+  const overdue = group.members.find((member) => member.condition === 'overdue');
+  const left = group.members.length - 1;
   if (!overdue || left < leastReplicas) return undefined;
-  if (g.spares.length === 0 && g.members.length <= g.size && !isEven(g)) return undefined;
-  if (g.members.filter(answers).length < majorityOf(left)) return undefined;
+  if (group.spares.length === 0 && group.members.length <= group.size && !isEven(group)) return undefined;
+  if (group.members.filter(answers).length < majorityOf(left)) return undefined;
   return { change: 'remove', id: overdue.id, why: 'it has been silent for too long' };
 };
 /** The newcomer is empty: a larger group than before needs its majority without it, a smaller one gains by it. */
-const addSpare = (g: ReplicaGroup): RepairStep | undefined => {
-  const spare = g.spares[0];
-  const replaces = g.members.some((m) => m.condition === 'leaving') ? 1 : 0;
-  if (spare === undefined || g.members.length >= g.size + replaces) return undefined;
-  const present = g.members.filter(answers).length + (g.members.length < g.size ? 1 : 0);
-  if (present < majorityOf(g.members.length + 1)) return undefined;
+const addSpare = (group: ReplicaGroup): RepairStep | undefined => {
+  const spare = group.spares[0];
+  const replaces = group.members.some((member) => member.condition === 'leaving') ? 1 : 0;
+  if (spare === undefined || group.members.length >= group.size + replaces) return undefined;
+  const present = group.members.filter(answers).length + (group.members.length < group.size ? 1 : 0);
+  if (present < majorityOf(group.members.length + 1)) return undefined;
   return { change: 'add', id: spare, why: 'the group is not full' };
 };
 /** One that leaves holds what it holds until another is there; without a spare only a full or an even group shrinks. */
-const removeLeaving = (g: ReplicaGroup): RepairStep | undefined => {
-  const leaving = g.members.find((m) => m.condition === 'leaving');
-  const left = g.members.length - 1;
+const removeLeaving = (group: ReplicaGroup): RepairStep | undefined => {
+  const leaving = group.members.find((member) => member.condition === 'leaving');
+  const left = group.members.length - 1;
   if (!leaving || left < leastReplicas) return undefined;
-  if (g.members.length < g.size && !isEven(g)) return undefined;
-  if (g.members.filter((m) => m !== leaving && answers(m)).length < majorityOf(left)) return undefined;
+  if (group.members.length < group.size && !isEven(group)) return undefined;
+  if (group.members.filter((member) => member !== leaving && answers(member)).length < majorityOf(left))
+    return undefined;
   return { change: 'remove', id: leaving.id, why: 'it leaves' };
 };
 
+/** Decides what a group needs next. */
 export const repair = {
   /** Nothing while a change is not complete: majorities of groups one member apart overlap, two apart may not. */
-  next: (g: ReplicaGroup): RepairStep | undefined =>
-    g.settled ? (removeGone(g) ?? removeOverdue(g) ?? addSpare(g) ?? removeLeaving(g)) : undefined,
+  next: (group: ReplicaGroup): RepairStep | undefined =>
+    group.settled ? (removeGone(group) ?? removeOverdue(group) ?? addSpare(group) ?? removeLeaving(group)) : undefined,
 };
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -10,6 +10,7 @@
 import { readCommitted, replicate, resign, retryAppend, startReplication, stepDown } from './leader.js';
 import type { Continuation, Effect, Event, ReplicaState, ReplyMessage, Snapshot, Step, Timing } from './types.js';
 
+/** The timing where the options give none, in microseconds. */
 export const defaultTiming: Timing = {
   heartbeat: us.ms(100),
   electionTimeout: us.ms(600),
@@ -22,6 +23,7 @@
   retryDelay: us.ms(20),
 };
 
+/** What a replica starts from. `now` is in microseconds; `random` gives a whole number from 0 to below `limit`. */
 export type ReplicaOptions<S> = {
   id: string;
   at: Place;
@@ -188,6 +190,7 @@
   startReplication(step);
 };
 
+/** The state machine: `create` makes the state of a replica, `step` takes an event. */
 export const replica = {
   create,
   /** Takes one event. The effects are to be carried out in their order; a write is answered by an event of its own. */
--- a/packages/consensus/src/role.ts
+++ b/packages/consensus/src/role.ts
@@ -2,6 +2,7 @@
 import { createMachine, interpret, state, transition } from 'robot3';
 import type { Role, Step } from './types.js';
 
+/** What may change the role of a replica. */
 export type RoleEvent = 'formed' | 'election-started' | 'elected' | 'stepped-down';
 
 const states = {
@@ -18,6 +19,7 @@
   return service.machine.current as Role;
 };
 
+/** Takes the role that follows from the event, and logs it where it is another one. */
 export const changeRole = <S>(step: Step<S>, event: RoleEvent): void => {
   const role = nextRole(step.state.role, event);
   if (role === step.state.role) return;
--- a/packages/consensus/src/types.ts
+++ b/packages/consensus/src/types.ts
@@ -7,6 +7,7 @@
 export type Snapshot<S> = { term: number; index: number; members: Member[]; state: S };
 /** A proposed change, applied by the leader to its newest version. It may change one member at most. */
 export type Change<S, R> = (state: S, members: Member[]) => { state: S; members?: Member[]; result: R };
+/** The roles of a replica; `unformed` holds no version and votes for nobody. */
 export type Role = 'unformed' | 'follower' | 'candidate' | 'leader';
 
 /** Intervals in microseconds. */
@@ -26,6 +27,7 @@
   retryDelay: Us;
 };
 
+/** Requests between members. `to` is the identity asked; another one at its address must not answer for it. */
 export type RequestMessage<S> =
   | { kind: 'append'; to: string; snapshot: Snapshot<S>; commitIndex: number }
   | { kind: 'heartbeat'; to: string; term: number; commitIndex: number }
@@ -35,13 +37,21 @@
   | { kind: 'form'; members: Member[] }
   /** A leader that gives up asks its followers not to wait for its silence. */
   | { kind: 'resign'; to: string; term: number };
+/** `index` is the index of the accepted version, -1 without one; not `ok` where the version was not accepted. */
 export type AppendReply = { kind: 'append'; ok: boolean; term: number; index: number };
+/** `index` is that of the version held under the term of the heartbeat, -1 without one. */
 export type HeartbeatReply = { kind: 'heartbeat'; ok: boolean; term: number; index: number };
+/** Whether the member would vote; `unformed` where it holds no version. */
 export type PreVoteReply = { kind: 'pre-vote'; ok: boolean; term: number; unformed: boolean };
+/** A granted vote carries the newest version that the voter holds. */
 export type VoteReply<S> = { kind: 'vote'; ok: boolean; term: number; accepted?: Snapshot<S> };
+/** Who is at an address, and whether it is a member already. */
 export type DiscoverReply = { kind: 'discover'; id: string; formed: boolean };
+/** Whether the first version was accepted. */
 export type FormReply = { kind: 'form'; ok: boolean };
+/** Whether the follower begins an election early. */
 export type ResignReply = { kind: 'resign'; ok: boolean };
+/** Replies between members, each to the request of the same kind. */
 export type ReplyMessage<S> =
   AppendReply | HeartbeatReply | PreVoteReply | VoteReply<S> | DiscoverReply | FormReply | ResignReply;
 
@@ -50,10 +60,13 @@
   | { ok: true; index: number; result: unknown }
   | { ok: false; code: 'moved' | 'unknown' }
   | { ok: false; code: 'failed'; error: Error };
+/** `moved`: this replica is not the leader; `unknown`: no quorum confirmed that it is. */
 export type ReadOutcome<S> = { ok: true; snapshot: Snapshot<S> } | { ok: false; code: 'moved' | 'unknown' };
 
+/** A change with the number by which its outcome is told. */
 export type Proposal<S> = { proposal: number; change: Change<S, unknown> };
 
+/** What a replica is told; each event is one step. */
 export type Event<S> =
   | { type: 'tick' }
   | { type: 'heartbeat-due' }
@@ -68,8 +81,10 @@
   | { type: 'write-failed'; unchanged: boolean }
   | { type: 'close' };
 
+/** Writes one of the two durable documents. */
 export type WriteEffect<S> =
   { type: 'write'; document: 'term'; term: number } | { type: 'write'; document: 'snapshot'; snapshot: Snapshot<S> };
+/** What a step asks for. Times are in microseconds. */
 export type Effect<S> =
   | { type: 'send'; request: number; at: Place; message: RequestMessage<S>; timeout: Us }
   | { type: 'reply'; call: number; reply: ReplyMessage<S> }
@@ -96,6 +111,7 @@
 /** Proposals that one version carries, with the outcome that each has once it is committed. */
 export type Batch<S> = { snapshot: Snapshot<S>; outcomes: { proposal: number; outcome: ProposalOutcome }[] };
 
+/** What a request under way is for. */
 export type Outstanding<S> =
   | { kind: 'append'; member: Member; snapshot: Snapshot<S>; catchUp: boolean }
   | { kind: 'heartbeat'; member: Member; round: number }
@@ -104,6 +120,7 @@
   | { kind: 'discover'; at: Place }
   | { kind: 'form' }
   | { kind: 'resign' };
+/** One round of heartbeats with the reads that wait for it; `pending` counts the answers still to come. */
 export type HeartbeatRound<S> = {
   term: number;
   startedAt: Us;
@@ -112,6 +129,7 @@
   pending: number;
   reads: { read: number; snapshot: Snapshot<S> }[];
 };
+/** One phase of an election; `granted` holds identities, `pending` counts the answers still to come. */
 export type Election<S> = {
   number: number;
   phase: 'pre-vote' | 'vote';
@@ -123,7 +141,9 @@
   highestTerm: number;
   pending: number;
 };
+/** The version under way, with the identities of those that hold it. */
 export type Replication<S> = Batch<S> & { startedAt: Us; acknowledged: string[] };
+/** The founders found so far; `pending` counts the answers still to come. */
 export type Discovery = { found: (Member & { formed: boolean })[]; pending: number };
 
 /** All that a replica knows. `term` and `accepted` are what its disk holds, never more. */
--- a/packages/consensus/src/wire.ts
+++ b/packages/consensus/src/wire.ts
@@ -6,20 +6,25 @@
 
 /** A snapshot between nodes and on disk. */
 export type Marked<S> = { view: number; seq: number; members: Member[]; state: S };
+/** The promised term on disk. */
 export type TermDocument = { view: number };
+/** The identity on disk, made at the first start. */
 export type IdentityDocument = { id: string };
+/** The names of the documents on disk. */
 export const documents = { identity: 'identity', term: 'promise', snapshot: 'state' } as const;
 
 const isMembers = shape.list(shape.has({ id: shape.text, at: place.ok }));
 /** A snapshot by its marks; what its state must be is for its owner to say. */
 export const isMarked = shape.has({ view: shape.whole, seq: shape.whole, members: isMembers, state: shape.any });
 
+/** A version in the form for other nodes and the disk. */
 export const toMarked = <S>(snapshot: Snapshot<S>): Marked<S> => ({
   view: snapshot.term,
   seq: snapshot.index,
   members: snapshot.members,
   state: snapshot.state,
 });
+/** A version from the form for other nodes and the disk. */
 export const fromMarked = <S>(marked: Marked<S>): Snapshot<S> => ({
   term: marked.view,
   index: marked.seq,
@@ -42,6 +47,7 @@
 type AppendBody<S> = { to: string; v: Marked<S>; doneSeq: number };
 type HeartbeatBody = { to: string; view: number; doneSeq: number };
 
+/** The shapes of the bodies of requests; `isState` checks the state in a version. */
 export const requestShapes = (isState: (state: unknown) => boolean): Record<RequestKind, Shape> => ({
   append: shape.has({
     to: shape.text,
@@ -56,6 +62,7 @@
   resign: shape.has({ to: shape.text, view: shape.whole }),
 });
 
+/** The body of a request. */
 export const encodeRequest = <S>(message: RequestMessage<S>): unknown => {
   switch (message.kind) {
     case 'append':
@@ -98,6 +105,7 @@
   }
 };
 
+/** The body of a reply. */
 export const encodeReply = <S>(reply: ReplyMessage<S>): unknown => {
   switch (reply.kind) {
     case 'append':
--- a/packages/durable-files/src/reserve.ts
+++ b/packages/durable-files/src/reserve.ts
@@ -3,6 +3,7 @@
 import type { Disk } from '@thornsail/runtime';
 import { format } from './format.js';
 
+/** The names of batch files that exist ahead of their use. Batches are numbered from 1. */
 export type Reserve = {
   /** Resolves once the name of this batch lasts. Fails as `Disk.reserve` does. */
   upTo: (batch: number) => Promise<void>;
@@ -12,6 +13,7 @@
   found: (last: number) => void;
 };
 
+/** Opens the reserve of a folder. */
 export const reserve = {
   /** `count` names are made at a time, and more when half of them are left. */
   open: (disk: Pick<Disk, 'reserve'>, count: number): Reserve => {
@@ -21,7 +23,7 @@
       const first = Math.max(last + 1, next);
       const end = next + count - 1;
       const numbers = Array.from({ length: end - first + 1 }, (_, i) => first + i);
-      await disk.reserve(numbers.map((n) => format.file('b', n)));
+      await disk.reserve(numbers.map((batch) => format.file('b', batch)));
       last = end;
     };
     const more = (next: number): Promise<void> => {
@@ -35,8 +37,8 @@
       ahead: (next) => {
         if (last - next < count / 2) void more(next).catch(() => undefined);
       },
-      found: (n) => {
-        last = n;
+      found: (batch) => {
+        last = batch;
       },
     };
   },
--- a/packages/thornsail/src/sweep-duty.ts
+++ b/packages/thornsail/src/sweep-duty.ts
@@ -17,91 +17,117 @@
 const tellWithin = us.s(3);
 const pauseBetweenKeys = us.ms(2);
 
-export const groupOf = (m: Mooring): Group | undefined => {
-  const k = m.state()?.keepers;
-  return k && k.mark > 0 ? { mark: k.mark, members: k.members } : undefined;
+/** The group of keepers as the newest agreed state known here has it; undefined before one is formed. */
+export const groupOf = (mooring: Mooring): Group | undefined => {
+  const keepers = mooring.state()?.keepers;
+  return keepers && keepers.mark > 0 ? { mark: keepers.mark, members: keepers.members } : undefined;
 };
 /** The member that sweeps after a change: the first that the roster has alive. */
-const firstMember = (s: Ordered): string | undefined =>
-  s.keepers.members.find((k) => s.roster[k.id] !== undefined && s.roster[k.id]!.standing !== 'dead')?.id;
+const firstMember = ({ keepers, roster }: Ordered): string | undefined =>
+  keepers.members.find(({ id }) => roster[id] !== undefined && roster[id].standing !== 'dead')?.id;
 
-export const sweepDuty = (o: {
+type SweepDutyOptions = {
   lens: Lens;
   pipe: Pipe;
   mooring: Mooring;
   registers: Registers;
+  /** The identity of this keeper. */
   id: string;
+  /** Where the lease of the sweep is asked for. */
   voters: () => Place[];
+  /** Counters by name; the passes of this keeper are added. */
   counts: Record<string, number>;
-}): (() => void) => {
-  const { lens, mooring: m, counts } = o;
-  const { clock } = lens;
-  const log = lens.log('keeper');
-  const lease = watch.duty({ lens, pipe: o.pipe, name: 'sweep', by: o.id, voters: o.voters });
-  let lastFull = clock.now();
-  let changed: { mark: number; at: Us } = { mark: 0, at: clock.now() };
-  let closed = false;
+};
+/** Sweeps all keys once; false where the group changed meanwhile, or not every key was settled. */
+type Pass = (group: Group, pace: SweepPace) => Promise<boolean>;
 
-  const count = (r: SweepResult): void => {
-    const add = (name: string, n: number): void => void (counts[name] = (counts[name] ?? 0) + n);
-    add('sweeps', 1);
-    add('swept_keys', r.seen);
-    add('swept_ranges', r.ranges);
-    add('swept_mended', r.mended);
-  };
-  const pass = async (group: Group, pace: SweepPace): Promise<boolean> => {
-    const still = (): boolean => !closed && groupOf(m)?.mark === group.mark;
-    const r = await sweep.pass({
-      clock,
-      pipe: o.pipe,
-      registers: o.registers,
+const addCounts = (counts: Record<string, number>, result: SweepResult): void => {
+  const add = (name: string, by: number): void => void (counts[name] = (counts[name] ?? 0) + by);
+  add('sweeps', 1);
+  add('swept_keys', result.seen);
+  add('swept_ranges', result.ranges);
+  add('swept_mended', result.mended);
+};
+const passes =
+  ({ lens, pipe, mooring, registers, counts }: SweepDutyOptions, isClosed: () => boolean): Pass =>
+  async (group, pace) => {
+    const result = await sweep.pass({
+      clock: lens.clock,
+      pipe,
+      registers,
       group,
       all: pace === 'change',
       pause: pace === 'usual' ? pauseBetweenKeys : 0,
       pace,
-      still,
+      still: () => !isClosed() && groupOf(mooring)?.mark === group.mark,
     });
-    count(r);
-    return r.complete;
+    addCounts(counts, result);
+    return result.complete;
   };
+
+type Sweeper = {
+  /** Makes the pass that is due, if this keeper is to make it. */
+  once: () => Promise<void>;
+  close: () => void;
+};
+const openSweeper = (options: SweepDutyOptions): Sweeper => {
+  const { lens, pipe, mooring, id, voters } = options;
+  const { clock } = lens;
+  const log = lens.log('keeper');
+  const lease = watch.duty({ lens, pipe, name: 'sweep', by: id, voters });
+  let lastFull = clock.now();
+  let changed: { mark: number; at: Us } = { mark: 0, at: clock.now() };
+  let closed = false;
+  const pass = passes(options, () => closed);
+
   /** Settles everything under the new mark, says so, and then fills the newcomer. */
   const sweepChange = async (group: Group): Promise<void> => {
     if (!(await pass(group, 'change'))) return;
     log(`every record is on a majority of group ${group.mark}.`);
-    await m.core.ask({ op: 'swept', mark: group.mark }, tellWithin).catch(() => undefined);
+    await mooring.core.ask({ op: 'swept', mark: group.mark }, tellWithin).catch(() => undefined);
     // Brings up what the newcomer lacks; the lease's holder goes on if this one is lost meanwhile.
     lastFull = clock.now() - fullEvery;
     if (await pass(group, 'fill')) lastFull = clock.now();
   };
-  const isMine = (s: Ordered): boolean =>
-    firstMember(s) === o.id || (lease.holds() && clock.now() - changed.at > firstWithin);
-  const once = async (): Promise<void> => {
-    const s = m.state();
-    const group = groupOf(m);
-    if (closed || !s || !group) return;
-    if (changed.mark !== group.mark) changed = { mark: group.mark, at: clock.now() };
-    if (s.keepers.swept !== group.mark) {
-      if (isMine(s)) await sweepChange(group);
-      return;
-    }
-    if (!lease.holds() || clock.now() - lastFull < fullEvery) return;
-    if (await pass(group, 'usual')) lastFull = clock.now();
+  const isMine = (ordered: Ordered): boolean =>
+    firstMember(ordered) === id || (lease.holds() && clock.now() - changed.at > firstWithin);
+  return {
+    once: async () => {
+      const ordered = mooring.state();
+      const group = groupOf(mooring);
+      if (closed || !ordered || !group) return;
+      if (changed.mark !== group.mark) changed = { mark: group.mark, at: clock.now() };
+      if (ordered.keepers.swept !== group.mark) {
+        if (isMine(ordered)) await sweepChange(group);
+        return;
+      }
+      if (!lease.holds() || clock.now() - lastFull < fullEvery) return;
+      if (await pass(group, 'usual')) lastFull = clock.now();
+    },
+    close: () => {
+      closed = true;
+      lease.close();
+    },
   };
+};
+
+/** Sweeps from now on whenever it is due, one pass at a time, until the function that it gives is called. */
+export const sweepDuty = (options: SweepDutyOptions): (() => void) => {
+  const sweeper = openSweeper(options);
   let running = false;
   const look = async (): Promise<void> => {
     if (running) return;
     running = true;
     try {
-      await once();
+      await sweeper.once();
     } finally {
       running = false;
     }
   };
-  m.onState(() => void look().catch(() => undefined));
-  const stop = time.every(clock, lookEvery, look);
+  options.mooring.onState(() => void look().catch(() => undefined));
+  const stop = time.every(options.lens.clock, lookEvery, look);
   return () => {
-    closed = true;
     stop();
-    lease.close();
+    sweeper.close();
   };
 };
