Bring the data plane, runtime and repair runs within the limits of the lint

Files of the last changes were over the limits of lint/limits.js: functions of over 60 lines, one-letter names, exported items without a doc comment. Names are whole words now and exported items say shapes, units and errors. Behaviour is meant to be unchanged.

The list lint/exceptions.json is not touched here: entries that are no longer needed remain to be taken out.

--- a/packages/data-plane/src/errors.ts
+++ b/packages/data-plane/src/errors.ts
@@ -44,12 +44,15 @@
   timed_out: both(504),
 } satisfies Record<string, Entry>;
 
+/** Code of an error that the data plane answers by itself. */
 export type ErrorCode = keyof typeof entries;
 
+/** Reads the table of errors. */
 export const errors = {
   /** HTTP status of an error at an interface. */
   status: (at: Interface, code: ErrorCode): number => entries[code][at],
   /** The word for it in the body. */
   name: (code: ErrorCode): string => (entries[code] as Entry).name ?? code,
+  /** All codes, in the order of the table. */
   codes: Object.keys(entries) as ErrorCode[],
 };
--- a/packages/data-plane/src/forward/charge.ts
+++ b/packages/data-plane/src/forward/charge.ts
@@ -25,8 +25,8 @@
     context.elsewhere = !chain.here;
     context.body = Buffer.concat([Buffer.from(chain.text, 'latin1'), plan.body]);
     return 'again';
-  } catch (e) {
-    requests.log(request, `a chain could not be read: ${fault.text(e)}.`);
+  } catch (error) {
+    requests.log(request, `a chain could not be read: ${fault.text(error)}.`);
     return requests.noKeepers(request, 'an earlier turn could not be read');
   }
 };
@@ -61,8 +61,8 @@
     let result: Charged;
     try {
       result = await tryCharge(request, account);
-    } catch (e) {
-      requests.log(request, `a charge failed: ${fault.text(e)}.`);
+    } catch (error) {
+      requests.log(request, `a charge failed: ${fault.text(error)}.`);
       bookings.account = account; // It may have been written: the books give it back if so.
       return requests.noKeepers(request, 'the charge could not be kept by a majority');
     }
--- a/packages/data-plane/src/forward/claim.ts
+++ b/packages/data-plane/src/forward/claim.ts
@@ -49,8 +49,8 @@
   let claimed: Claimed;
   try {
     claimed = await edge.books.claim(key, id, requests.bookWait(request));
-  } catch (e) {
-    requests.log(request, `a claim failed: ${fault.text(e)}.`);
+  } catch (error) {
+    requests.log(request, `a claim failed: ${fault.text(error)}.`);
     bookings.key = key; // It may have been written: the books free the key if so.
     return requests.noKeepers(request, 'the claim could not be kept by a majority');
   }
--- a/packages/data-plane/src/forward/dialect.ts
+++ b/packages/data-plane/src/forward/dialect.ts
@@ -30,6 +30,7 @@
   /** From a worker: running, waiting, slots. */
   load: string;
 };
+/** How many requests a worker runs, how many wait there, and how many it can run at once. */
 export type WorkerLoad = { running: number; waiting: number; slots: number };
 /** What the head of a worker's answer says. */
 export type Incoming = {
@@ -46,11 +47,16 @@
   /** Seconds for which the worker keeps an idle connection. */
   keepAlive: number | null;
 };
+/** An answer as it goes out; headers as name, value, ... */
 export type Words = { status: number; headers: readonly string[]; body: string };
+/** What one attempt at a worker adds to its request: time left in microseconds, length of the body in bytes. */
+type Send = { instance: string; left: Us; lastEvent: string | null; length: number };
+type Refusal = Omit<Refused, 'kind'>;
+/** Reads and words requests and answers. */
 export type Dialect = {
   plan: (ask: HttpAsk, config: Config) => ForwardPlan;
-  outgoing: (p: Forward, o: { instance: string; left: Us; lastEvent: string | null; length: number }) => string[];
-  incoming: (p: Forward, status: number, headers: Record<string, string>) => Incoming;
+  outgoing: (plan: Forward, send: Send) => string[];
+  incoming: (plan: Forward, status: number, headers: Record<string, string>) => Incoming;
   /** The headers of an answer that are the caller's to see. */
   passed: (rawHeaders: readonly string[]) => string[];
   /** The version of weights that headers of a worker's answer tell (name, value, ...), or null. */
@@ -60,7 +66,7 @@
   /** How long the client waits for its answer by its own word, or null. */
   patience: (ask: HttpAsk) => Us | null;
   /** `retryAfter` in seconds, fractions included. */
-  refuse: (r: Omit<Refused, 'kind'>, retryAfter: number | null) => Words;
+  refuse: (refusal: Refusal, retryAfter: number | null) => Words;
 };
 
 /** What concerns one connection only (RFC 9110 §7.6.1), and what is said anew for each. */
@@ -81,11 +87,11 @@
   const named = new Set<string>();
   for (let i = 0; i < raw.length; i += 2)
     if (raw[i]!.toLowerCase() === 'connection')
-      for (const n of raw[i + 1]!.split(',')) named.add(n.trim().toLowerCase());
+      for (const name of raw[i + 1]!.split(',')) named.add(name.trim().toLowerCase());
   const out: string[] = [];
   for (let i = 0; i < raw.length; i += 2) {
-    const n = raw[i]!.toLowerCase();
-    if (!hopByHop.has(n) && !named.has(n) && !but.has(n)) out.push(raw[i]!, raw[i + 1]!);
+    const name = raw[i]!.toLowerCase();
+    if (!hopByHop.has(name) && !named.has(name) && !but.has(name)) out.push(raw[i]!, raw[i + 1]!);
   }
   return out;
 };
@@ -95,31 +101,35 @@
 export const routeOf = (config: Config, host: string, path: string): Route | undefined => {
   const at = host.toLowerCase().replace(/:\d+$/, '');
   let best: Route | undefined;
-  for (const r of config.routes)
-    if (r.host.toLowerCase() === at && path.startsWith(r.prefix) && r.prefix.length > (best?.prefix.length ?? -1))
-      best = r;
+  for (const route of config.routes)
+    if (
+      route.host.toLowerCase() === at &&
+      path.startsWith(route.prefix) &&
+      route.prefix.length > (best?.prefix.length ?? -1)
+    )
+      best = route;
   return best;
 };
 
 const printable = /^[\x21-\x7e]{1,200}$/;
 const number = /^\d{1,12}(\.\d{1,6})?$/;
-const isRefused = (x: unknown): x is Refused => (x as Refused | null)?.kind === 'refuse';
+const isRefused = (value: unknown): value is Refused => (value as Refused | null)?.kind === 'refuse';
 
 /** Reads one header by its pattern; a missing one is null. */
 const reader =
   (ask: HttpAsk) =>
   (name: string, ok: RegExp, what: string): string | null | Refused => {
-    const v = ask.headers[name];
-    if (v === undefined) return null;
-    return ok.test(v) ? v : refused('bad_field', name, what);
+    const value = ask.headers[name];
+    if (value === undefined) return null;
+    return ok.test(value) ? value : refused('bad_field', name, what);
   };
-const turnOf = (ask: HttpAsk, n: HeaderNames): Turn | null | Refused => {
+const turnOf = (ask: HttpAsk, names: HeaderNames): Turn | null | Refused => {
   const read = reader(ask);
-  const program = read(n.program, printable, '1 to 200 printable characters');
-  const session = read(n.session, printable, '1 to 200 printable characters');
-  const remaining = read(n.remainingMs, /^-?\d{1,12}(\.\d{1,6})?$/, 'a number of milliseconds');
-  const budget = read(n.budget, number, 'a number of tokens');
-  for (const x of [program, session, remaining, budget]) if (isRefused(x)) return x;
+  const program = read(names.program, printable, '1 to 200 printable characters');
+  const session = read(names.session, printable, '1 to 200 printable characters');
+  const remaining = read(names.remainingMs, /^-?\d{1,12}(\.\d{1,6})?$/, 'a number of milliseconds');
+  const budget = read(names.budget, number, 'a number of tokens');
+  for (const field of [program, session, remaining, budget]) if (isRefused(field)) return field;
   if (program === null) return null;
   return {
     program: program as string,
@@ -128,14 +138,14 @@
     budget: budget === null ? null : Number(budget),
   };
 };
-const usageOf = (ask: HttpAsk, n: HeaderNames): Forward['usage'] | Refused => {
-  const v = reader(ask)(n.usage, /^\d{1,12},\d{1,12}$/, 'two whole numbers with a comma between');
-  if (isRefused(v)) return v;
-  const [prompt = 0, most = 0] = v === null ? [] : v.split(',').map(Number);
+const usageOf = (ask: HttpAsk, names: HeaderNames): Forward['usage'] | Refused => {
+  const usage = reader(ask)(names.usage, /^\d{1,12},\d{1,12}$/, 'two whole numbers with a comma between');
+  if (isRefused(usage)) return usage;
+  const [prompt = 0, most = 0] = usage === null ? [] : usage.split(',').map(Number);
   return { prompt, most };
 };
 
-const planOf = (ask: HttpAsk, config: Config, n: HeaderNames, set: ReadonlySet<string>): ForwardPlan => {
+const planOf = (ask: HttpAsk, config: Config, names: HeaderNames, set: ReadonlySet<string>): ForwardPlan => {
   const host = ask.headers['host'];
   if (host === undefined) return refused('missing_field', 'host', 'a host is needed');
   // As it came: what a worker gets unchanged is what chooses its route.
@@ -143,16 +153,16 @@
   if (!route) return refused('no_such_route', null, 'no route leads there');
   if (ask.tooBig) return refused('too_large', 'body', `the body is over ${config.limits.maxBodyBytes} bytes`);
   const read = reader(ask);
-  const attempt = read(n.attempt, printable, '1 to 200 printable characters');
-  if (attempt === null) return refused('missing_field', n.attempt, 'every attempt carries an id of its own');
-  const deadline = read(n.deadlineMs, number, 'a number of milliseconds');
-  const key = read(n.key, printable, '1 to 200 printable characters');
-  const previous = read(n.previous, printable, '1 to 200 printable characters');
-  const turn = turnOf(ask, n);
-  const usage = usageOf(ask, n);
-  for (const x of [attempt, deadline, key, previous, turn, usage]) if (isRefused(x)) return x;
+  const attempt = read(names.attempt, printable, '1 to 200 printable characters');
+  if (attempt === null) return refused('missing_field', names.attempt, 'every attempt carries an id of its own');
+  const deadline = read(names.deadlineMs, number, 'a number of milliseconds');
+  const key = read(names.key, printable, '1 to 200 printable characters');
+  const previous = read(names.previous, printable, '1 to 200 printable characters');
+  const turn = turnOf(ask, names);
+  const usage = usageOf(ask, names);
+  for (const field of [attempt, deadline, key, previous, turn, usage]) if (isRefused(field)) return field;
   if (route.semantics === 'keyed' && key === null)
-    return refused('missing_field', n.key, 'requests of this route carry a key');
+    return refused('missing_field', names.key, 'requests of this route carry a key');
   const stream = route.semantics === 'stream';
   return {
     kind: 'forward',
@@ -168,8 +178,8 @@
     usage: usage as Forward['usage'],
     turn: stream ? (turn as Turn | null) : null,
     previous: stream && route.keepSeconds > 0 ? (previous as string | null) : null,
-    lastEvent: stream ? (ask.headers[n.lastEvent] ?? null) : null,
-    expectVersion: ask.headers[n.expectVersion] ?? null,
+    lastEvent: stream ? (ask.headers[names.lastEvent] ?? null) : null,
+    expectVersion: ask.headers[names.expectVersion] ?? null,
   };
 };
 
@@ -180,51 +190,73 @@
  */
 const isFramed = (status: number, headers: Record<string, string>): boolean =>
   headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined || withoutBody.has(status);
-const loadOf = (v: string | undefined): WorkerLoad | null => {
-  const m = v === undefined ? null : /^\s*(\d+)\s*,\s*(\d+)\s*,\s*(\d+)\s*$/.exec(v);
-  return m ? { running: Number(m[1]), waiting: Number(m[2]), slots: Number(m[3]) } : null;
+const loadOf = (value: string | undefined): WorkerLoad | null => {
+  const match = value === undefined ? null : /^\s*(\d+)\s*,\s*(\d+)\s*,\s*(\d+)\s*$/.exec(value);
+  return match ? { running: Number(match[1]), waiting: Number(match[2]), slots: Number(match[3]) } : null;
 };
-const keepAliveOf = (v: string | undefined): number | null => {
-  const m = v === undefined ? null : /timeout=(\d+)/.exec(v);
-  return m ? Number(m[1]) : null;
+const keepAliveOf = (value: string | undefined): number | null => {
+  const match = value === undefined ? null : /timeout=(\d+)/.exec(value);
+  return match ? Number(match[1]) : null;
 };
 
+/** The headers that a worker gets: the client's own, and what is said anew for this attempt. */
+const outgoingOf = (names: HeaderNames, plan: Forward, send: Send): string[] => [
+  ...plan.headers,
+  names.deadlineMs,
+  String(Math.max(1, us.toMs(send.left))),
+  names.expectInstance,
+  send.instance,
+  ...(send.lastEvent === null ? [] : [names.lastEvent, send.lastEvent]),
+  ...(plan.expectVersion === null ? [] : [names.expectVersion, plan.expectVersion]),
+  ...(send.length > 0 || !['GET', 'HEAD'].includes(plan.method) ? ['content-length', String(send.length)] : []),
+];
+/** What the head of a worker's answer says; `wrongInstance` is the status by which a worker denies its name. */
+const incomingOf = (
+  names: HeaderNames,
+  wrongInstance: number,
+  plan: Forward,
+  status: number,
+  headers: Record<string, string>,
+): Incoming => {
+  const success = status >= 200 && status < 300;
+  const encoded = headers['content-encoding'] !== undefined;
+  const sound = headers[names.seal] !== undefined && !encoded && isFramed(status, headers);
+  const notRun = headers[names.notRun] !== undefined || status === wrongInstance;
+  const attempt = headers[names.attempt];
+  return {
+    mine: attempt === plan.attempt || (status === wrongInstance && attempt === undefined),
+    notRun,
+    wrongInstance: status === wrongInstance,
+    success: success && sound,
+    unsound: (success && !sound) || (encoded && !notRun),
+    load: loadOf(headers[names.load]),
+    keepAlive: keepAliveOf(headers['keep-alive']),
+  };
+};
+const refusalOf = (refusal: Refusal, retryAfter: number | null): Words => ({
+  status: refusal.status,
+  headers: ['content-type', 'application/json', ...(retryAfter === null ? [] : ['retry-after', retryAfter.toFixed(3)])],
+  body: JSON.stringify({
+    error: errors.name(refusal.error),
+    ...(refusal.field === null ? {} : { field: refusal.field }),
+    message: refusal.text,
+  }),
+});
+
+/** Opens dialects. */
 export const dialect = {
   /** A dialect that keeps all its meanings in headers. */
-  byHeaders: (n: HeaderNames, wrongInstance = 421): Dialect => {
-    const set = new Set([n.deadlineMs, n.expectInstance, n.lastEvent, n.expectVersion]);
-    const versionLine = Buffer.from(`${n.weightVersion}:`, 'latin1');
+  byHeaders: (names: HeaderNames, wrongInstance = 421): Dialect => {
+    const set = new Set([names.deadlineMs, names.expectInstance, names.lastEvent, names.expectVersion]);
+    const versionLine = Buffer.from(`${names.weightVersion}:`, 'latin1');
     return {
-      plan: (ask, config) => planOf(ask, config, n, set),
-      outgoing: (p, o) => [
-        ...p.headers,
-        n.deadlineMs,
-        String(Math.max(1, us.toMs(o.left))),
-        n.expectInstance,
-        o.instance,
-        ...(o.lastEvent === null ? [] : [n.lastEvent, o.lastEvent]),
-        ...(p.expectVersion === null ? [] : [n.expectVersion, p.expectVersion]),
-        ...(o.length > 0 || !['GET', 'HEAD'].includes(p.method) ? ['content-length', String(o.length)] : []),
-      ],
-      incoming: (p, status, headers) => {
-        const success = status >= 200 && status < 300;
-        const encoded = headers['content-encoding'] !== undefined;
-        const sound = headers[n.seal] !== undefined && !encoded && isFramed(status, headers);
-        const notRun = headers[n.notRun] !== undefined || status === wrongInstance;
-        return {
-          mine: headers[n.attempt] === p.attempt || (status === wrongInstance && headers[n.attempt] === undefined),
-          notRun,
-          wrongInstance: status === wrongInstance,
-          success: success && sound,
-          unsound: (success && !sound) || (encoded && !notRun),
-          load: loadOf(headers[n.load]),
-          keepAlive: keepAliveOf(headers['keep-alive']),
-        };
-      },
+      plan: (ask, config) => planOf(ask, config, names, set),
+      outgoing: (plan, send) => outgoingOf(names, plan, send),
+      incoming: (plan, status, headers) => incomingOf(names, wrongInstance, plan, status, headers),
       passed: (raw) => endToEnd(raw, none),
       headVersion: (headers) => {
         for (let i = 0; i < headers.length; i += 2)
-          if (headers[i]!.toLowerCase() === n.weightVersion) return headers[i + 1]!.trim();
+          if (headers[i]!.toLowerCase() === names.weightVersion) return headers[i + 1]!.trim();
         return null;
       },
       eventVersion: (event) => {
@@ -232,22 +264,10 @@
         return event.toString('latin1', versionLine.length).split('\n', 1)[0]!.trim();
       },
       patience: (ask) => {
-        const told = ask.headers[n.deadlineMs];
+        const told = ask.headers[names.deadlineMs];
         return told !== undefined && number.test(told) ? us.ms(Number(told)) : null;
       },
-      refuse: (r, retryAfter) => ({
-        status: r.status,
-        headers: [
-          'content-type',
-          'application/json',
-          ...(retryAfter === null ? [] : ['retry-after', retryAfter.toFixed(3)]),
-        ],
-        body: JSON.stringify({
-          error: errors.name(r.error),
-          ...(r.field === null ? {} : { field: r.field }),
-          message: r.text,
-        }),
-      }),
+      refuse: refusalOf,
     };
   },
 };
--- a/packages/data-plane/src/forward/finish.ts
+++ b/packages/data-plane/src/forward/finish.ts
@@ -33,8 +33,8 @@
       await forwarding.kept.keep(plan.attempt, turn, plan.route.keepSeconds, requests.closeWithin);
     }
     await settled;
-  } catch (e) {
-    requests.log(request, `a turn was not kept, so its stream is cut: ${fault.text(e)}.`);
+  } catch (error) {
+    requests.log(request, `a turn was not kept, so its stream is cut: ${fault.text(error)}.`);
     requests.leaveScheduler(request, context.prompt + used, worker.id);
     request.stages.go('lose');
     edge.bump('cut');
--- a/packages/data-plane/src/forward/request.ts
+++ b/packages/data-plane/src/forward/request.ts
@@ -67,6 +67,7 @@
   /** Data of the events, a line each; only where turns are kept. */
   output: string;
 };
+/** State of one request, from its arrival to its final answer. */
 export type Request = {
   forwarding: Forwarding;
   edge: Edge;
@@ -187,7 +188,7 @@
   const entry = { actual: used, tokens: request.context.prompt + used, worker };
   return request.edge.books
     .settle(account, request.id, entry, closeWithin)
-    .catch((e) => log(request, `a turn was not settled and stays charged: ${fault.text(e)}.`));
+    .catch((error) => log(request, `a turn was not settled and stays charged: ${fault.text(error)}.`));
 };
 
 /** Closes the books of a request that was given up. */
@@ -217,6 +218,7 @@
 };
 const noKeepers = (request: Request, text: string): 'done' => reject(request, 'no_keepers', text, soon(request));
 
+/** Operations on a request that its stages share. Times are microseconds. */
 export const requests = {
   open,
   left,
--- a/packages/data-plane/src/forward/response.ts
+++ b/packages/data-plane/src/forward/response.ts
@@ -2,6 +2,7 @@
 // and when it has had its final answer at its deadline.
 import type { Clock, HttpSay, Us } from '@thornsail/runtime';
 
+/** A response that is closed once its deadline has passed. */
 export type TimedResponse = {
   response: HttpSay;
   /** To be called when the request is over. */
@@ -53,4 +54,5 @@
   return { response, stop };
 };
 
+/** Opens responses with a deadline. */
 export const timedResponse = { open };
--- a/packages/data-plane/src/load-exchange.ts
+++ b/packages/data-plane/src/load-exchange.ts
@@ -7,7 +7,9 @@
 
 /** One edge's load; of two with the same sender the one with the higher mark is the newer. */
 export type LoadMessage = { from: string; mark: number; load: EdgeLoad };
+/** The newest load of another edge; `at` is when it came by the local clock, microseconds. */
 export type ReceivedLoad = { mark: number; at: Us; load: EdgeLoad };
+/** One edge's side of the exchange of loads. */
 export type LoadExchange = {
   /** This edge's own load, to its row at once and to the other rows with the row's next bundle. */
   send: (message: LoadMessage) => void;
@@ -16,9 +18,10 @@
 };
 const isLoadMessage = shape.has({ from: shape.text, mark: shape.whole, load: isLoad });
 
+/** Opens the exchange of loads between edges. */
 export const loadExchange = {
   /** `pause` is the least time between two bundles, `received` is called when another edge's load has come. */
-  open: (o: {
+  open: (options: {
     clock: Clock;
     pipe: Pipe;
     me: string;
@@ -26,7 +29,7 @@
     pause: () => Us;
     onReceived: () => void;
   }): LoadExchange => {
-    const { clock, pipe, me } = o;
+    const { clock, pipe, me } = options;
     const received = new Map<string, ReceivedLoad>();
     /** What this edge has not passed on to the other rows yet. */
     const bundle = new Map<string, LoadMessage>();
@@ -35,15 +38,15 @@
     const sendBundle = (): void => {
       bundleDue = false;
       lastBundle = clock.now();
-      pipe.tellAll(o.paths().otherRows, 'loads', [...bundle.values()]);
+      pipe.tellAll(options.paths().otherRows, 'loads', [...bundle.values()]);
       bundle.clear();
     };
     const passOn = (message: LoadMessage): void => {
-      if (o.paths().otherRows.length === 0) return;
+      if (options.paths().otherRows.length === 0) return;
       bundle.set(message.from, message);
       if (bundleDue) return;
       bundleDue = true;
-      clock.tick(Math.max(0, lastBundle + o.pause() - clock.now()), sendBundle);
+      clock.tick(Math.max(0, lastBundle + options.pause() - clock.now()), sendBundle);
     };
     /** False if it is no news: this edge's own, or older than what is known. */
     const take = ({ from, mark, load }: LoadMessage): boolean => {
@@ -54,15 +57,15 @@
     pipe.on<LoadMessage>('load', isLoadMessage, (message) => {
       if (!take(message)) return;
       passOn(message);
-      o.onReceived();
+      options.onReceived();
     });
     pipe.on<LoadMessage[]>('loads', shape.list(isLoadMessage), (messages) => {
-      if (messages.filter(take).length > 0) o.onReceived();
+      if (messages.filter(take).length > 0) options.onReceived();
     });
     return {
       received,
       send: (message) => {
-        pipe.tellAll(o.paths().row, 'load', message);
+        pipe.tellAll(options.paths().row, 'load', message);
         passOn(message);
       },
     };
--- a/packages/data-plane/src/load-paths.ts
+++ b/packages/data-plane/src/load-paths.ts
@@ -5,6 +5,7 @@
 
 /** A live edge, as the roster has it. */
 export type EdgePeer = { id: string; place: Place; zone: string };
+/** Addresses of the edges that one edge sends to, itself excluded. */
 export type LoadPaths = {
   /** Edges that hear of this edge's own load from itself. */
   row: Place[];
@@ -23,15 +24,17 @@
   return Array.from({ length: count }, (_, row) => sorted.slice(start(row), start(row + 1)));
 };
 
+/** Computes whom an edge sends to. */
 export const loadPaths = {
   /** All edges compute the same grid from the same roster. An edge that the roster does not have tells all directly. */
   of: (peers: readonly EdgePeer[], me: string): LoadPaths => {
-    const others = (row: readonly EdgePeer[]): Place[] => row.filter((p) => p.id !== me).map((p) => p.place);
+    const others = (row: readonly EdgePeer[]): Place[] =>
+      row.filter((peer) => peer.id !== me).map((peer) => peer.place);
     if (peers.length <= directUpTo) return { row: others(peers), otherRows: [] };
     const rows = rowsOf(peers);
-    const own = rows.find((row) => row.some((p) => p.id === me));
+    const own = rows.find((row) => row.some((peer) => peer.id === me));
     if (!own) return { row: others(peers), otherRows: [] };
-    const column = own.findIndex((p) => p.id === me);
+    const column = own.findIndex((peer) => peer.id === me);
     // A row may be shorter than another: its members then stand for several columns each.
     const mine = (row: readonly EdgePeer[]): EdgePeer[] => row.filter((_, i) => i % own.length === column);
     return { row: others(own), otherRows: rows.filter((row) => row !== own).flatMap((row) => others(mine(row))) };
--- a/packages/runtime/src/connector.ts
+++ b/packages/runtime/src/connector.ts
@@ -15,6 +15,7 @@
   });
 };
 
+/** Opens connectors for undici's clients and agents. */
 export const connector = {
   /**
    * @param options as undici's `buildConnector` takes them, times in milliseconds
--- a/packages/runtime/src/frames.ts
+++ b/packages/runtime/src/frames.ts
@@ -9,6 +9,13 @@
 const maxFrame = 16 << 20;
 /** Bytes that wait for a slow peer; further frames to it are dropped. */
 const maxBuffered = 8 << 20;
+/** Milliseconds after which a connection without traffic is closed. */
+const idleMs = 30_000;
+/** Milliseconds that a connection may take to come up. */
+const connectMs = 2_000;
+
+type FrameListener = Parameters<Net['frames']>[1];
+type BadListener = Parameters<Net['frames']>[3];
 
 /** Cuts a stream of bytes into frames, until one is bad. */
 const frameReader = (take: (text: string) => boolean, bad: (why: string) => void): ((d: Buffer) => void) => {
@@ -19,9 +26,9 @@
     over = true;
     bad(why);
   };
-  return (d) => {
-    parts.push(d);
-    size += d.length;
+  return (data) => {
+    parts.push(data);
+    size += data.length;
     while (!over && size >= 4) {
       const buf = parts.length === 1 ? parts[0]! : Buffer.concat(parts);
       parts = [buf];
@@ -36,74 +43,94 @@
   };
 };
 
-/** One TCP pipe each way between two places; frames are length-prefixed, the first names the sender (§3.1). */
+type Writer = (socket: net.Socket, text: string) => void;
+/** Writes frames; all that is written within one turn of the event loop goes out together. */
+const frameWriter = (): Writer => {
+  const corked: net.Socket[] = [];
+  const uncork = (): void => {
+    for (const socket of corked.splice(0)) socket.uncork();
+  };
+  return (socket, text) => {
+    const size = Buffer.byteLength(text, 'utf8');
+    const bytes = Buffer.allocUnsafe(4 + size);
+    bytes.writeUInt32BE(size);
+    bytes.write(text, 4, 'utf8');
+    if (socket.writableCorked === 0) {
+      socket.cork();
+      if (corked.push(socket) === 1) setImmediate(uncork);
+    }
+    socket.write(bytes);
+  };
+};
+
+/** Reads the frames of a peer that has connected, until it goes or sends a bad one. */
+const receive = (socket: net.Socket, onFrame: FrameListener, onBad: BadListener): void => {
+  socket.setNoDelay(true);
+  let from: Place | undefined;
+  // The first frame names the sender; whatever cannot be one breaks the pipe, and nothing else.
+  const take = (text: string): boolean => {
+    if (from !== undefined) return onFrame(from, text);
+    if (place.ok(text)) from = text;
+    return from !== undefined;
+  };
+  const read = frameReader(take, (why) => {
+    onBad?.(from ?? `${socket.remoteAddress ?? '?'}:${socket.remotePort ?? 0}`, why);
+    socket.destroy();
+  });
+  socket.on('data', read);
+  socket.on('error', () => socket.destroy());
+};
+
+/** Connects to a peer from `self`; `onClose` is called when that connection is over, however it ended. */
+const connectTo = (to: Place, self: Place, onClose: (socket: net.Socket) => void): net.Socket => {
+  const socket = net.connect({ host: place.host(to), port: place.port(to), localAddress: place.host(self) });
+  socket.setNoDelay(true);
+  socket.on('error', () => undefined);
+  socket.on('close', () => onClose(socket));
+  socket.setTimeout(idleMs, () => socket.destroy());
+  // One that does not come up keeps no old frames for later.
+  const slow = setTimeout(() => {
+    if (socket.connecting) socket.destroy();
+  }, connectMs);
+  socket.once('connect', () => clearTimeout(slow));
+  socket.once('close', () => clearTimeout(slow));
+  return socket;
+};
+
+/**
+ * Opens the frames of one address: one TCP pipe each way between two places; frames are length-prefixed, the first
+ * names the sender (§3.1). Rejects with step `frames.bind` if the address cannot be bound.
+ */
 export const frames: Net['frames'] = (at, onFrame, onDown, onBad) =>
   new Promise((done, fail) => {
-    const out = new Map<Place, net.Socket>();
-    const inn = new Set<net.Socket>();
-    const corked: net.Socket[] = [];
-    const uncork = (): void => {
-      for (const s of corked.splice(0)) s.uncork();
-    };
-    /** All that is written within one turn of the event loop goes out together. */
-    const write = (s: net.Socket, text: string): void => {
-      const size = Buffer.byteLength(text, 'utf8');
-      const b = Buffer.allocUnsafe(4 + size);
-      b.writeUInt32BE(size);
-      b.write(text, 4, 'utf8');
-      if (s.writableCorked === 0) {
-        s.cork();
-        if (corked.push(s) === 1) setImmediate(uncork);
-      }
-      s.write(b);
-    };
+    const outgoing = new Map<Place, net.Socket>();
+    const incoming = new Set<net.Socket>();
+    const write = frameWriter();
     let self: Place = at;
     let closing = false;
-    const server = net.createServer((s) => {
-      inn.add(s);
-      s.setNoDelay(true);
-      let from: Place | undefined;
-      // The first frame names the sender; whatever cannot be one breaks the pipe, and nothing else.
-      const take = (text: string): boolean => {
-        if (from !== undefined) return onFrame(from, text);
-        if (place.ok(text)) from = text;
-        return from !== undefined;
-      };
-      const read = frameReader(take, (why) => {
-        onBad?.(from ?? `${s.remoteAddress ?? '?'}:${s.remotePort ?? 0}`, why);
-        s.destroy();
-      });
-      s.on('data', read);
-      s.on('error', () => s.destroy());
-      s.on('close', () => inn.delete(s));
+    const server = net.createServer((socket) => {
+      incoming.add(socket);
+      receive(socket, onFrame, onBad);
+      socket.on('close', () => incoming.delete(socket));
     });
+    const connect = (to: Place): net.Socket => {
+      const socket = connectTo(to, self, (closed) => {
+        if (outgoing.get(to) === closed) outgoing.delete(to);
+        if (!closing) onDown?.(to);
+      });
+      outgoing.set(to, socket);
+      write(socket, self);
+      return socket;
+    };
     const send: Frames['send'] = (to, text) => {
-      let s = out.get(to);
-      if (!s || s.destroyed) {
-        s = net.connect({ host: place.host(to), port: place.port(to), localAddress: place.host(self) });
-        s.setNoDelay(true);
-        s.on('error', () => undefined);
-        const mine = s;
-        s.on('close', () => {
-          if (out.get(to) === mine) out.delete(to);
-          if (!closing) onDown?.(to);
-        });
-        s.setTimeout(30_000, () => mine.destroy());
-        // One that does not come up keeps no old frames for later.
-        const slow = setTimeout(() => {
-          if (mine.connecting) mine.destroy();
-        }, 2_000);
-        s.once('connect', () => clearTimeout(slow));
-        s.once('close', () => clearTimeout(slow));
-        out.set(to, s);
-        write(s, self);
-      }
-      if (s.writableLength < maxBuffered) write(s, text);
+      const known = outgoing.get(to);
+      const socket = !known || known.destroyed ? connect(to) : known;
+      if (socket.writableLength < maxBuffered) write(socket, text);
     };
-    server.on('error', (e) => fail(fault.make({ step: 'frames.bind', sibling: at }, e.message, e)));
+    server.on('error', (error) => fail(fault.make({ step: 'frames.bind', sibling: at }, error.message, error)));
     server.listen(place.port(at), place.host(at), () => {
-      const a = server.address() as net.AddressInfo;
-      self = `${a.address}:${a.port}`;
+      const address = server.address() as net.AddressInfo;
+      self = `${address.address}:${address.port}`;
       done({
         at: self,
         send,
@@ -111,8 +138,8 @@
           new Promise((fin) => {
             closing = true;
             // What was written in this turn goes out first.
-            for (const s of out.values()) s.uncork();
-            for (const s of [...out.values(), ...inn]) s.destroy();
+            for (const socket of outgoing.values()) socket.uncork();
+            for (const socket of [...outgoing.values(), ...incoming]) socket.destroy();
             server.close(() => fin());
           }),
       });
--- a/packages/runtime/src/http-client.ts
+++ b/packages/runtime/src/http-client.ts
@@ -2,7 +2,7 @@
 import { Agent, Client, request, type Dispatcher } from 'undici';
 import { connector } from './connector.js';
 import { flatHeaders } from './headers.js';
-import { fault, us, type HttpCall, type HttpResult } from './index.js';
+import { fault, us, type HttpCall, type HttpResult, type Us } from './index.js';
 
 const neverSent = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT']);
 const agent = new Agent({
@@ -15,9 +15,46 @@
   connections: 256,
 });
 
-export const call = async (c: HttpCall): Promise<HttpResult> => {
-  const own = c.fresh
-    ? new Client(`http://${c.at}`, {
+/** The body as text; `silence` in microseconds, `over` is called when it has ended or broken off. */
+const textOf = async function* (
+  body: Dispatcher.ResponseData['body'],
+  at: string,
+  silence: Us,
+  over: () => void,
+): AsyncIterable<string> {
+  const decoder = new TextDecoder();
+  let quiet: NodeJS.Timeout | undefined;
+  const arm = (): void => {
+    clearTimeout(quiet);
+    quiet = setTimeout(() => body.destroy(new Error('silence')), silence / 1000);
+  };
+  try {
+    arm();
+    for await (const piece of body) {
+      clearTimeout(quiet);
+      yield decoder.decode(piece as Uint8Array, { stream: true });
+      arm();
+    }
+    const rest = decoder.decode();
+    if (rest) yield rest;
+  } catch (error) {
+    throw fault.make({ step: 'http.body', sibling: at, sent: true }, fault.text(error), error);
+  } finally {
+    clearTimeout(quiet);
+    over();
+  }
+};
+
+/**
+ * Sends one request and resolves with its answer's head; the body follows as pieces of text.
+ *
+ * Rejects with step `http.call` if no head comes within `timeLeft` (microseconds); `sent` is false where the request
+ * cannot have reached the peer. The body throws step `http.body` if it breaks off, or after `silence` (microseconds,
+ * 30 s if absent) without a piece. With `fresh` the call has a connection of its own, which ends with it.
+ */
+export const call = async (options: HttpCall): Promise<HttpResult> => {
+  const own = options.fresh
+    ? new Client(`http://${options.at}`, {
         connect: connector.open({ timeout: 800 }),
         bodyTimeout: 0,
         headersTimeout: 0,
@@ -25,52 +62,38 @@
       })
     : undefined;
   const drop = (): void => void own?.destroy().catch(() => undefined);
-  const ac = new AbortController();
-  const late = setTimeout(() => ac.abort(), Math.max(1, c.timeLeft / 1000));
-  let res: Dispatcher.ResponseData;
+  const abort = new AbortController();
+  const late = setTimeout(() => abort.abort(), Math.max(1, options.timeLeft / 1000));
+  let response: Dispatcher.ResponseData;
   try {
-    res = await request(`http://${c.at}${c.path}`, {
-      method: c.method as Dispatcher.HttpMethod,
-      headers: c.headers,
-      body: c.body,
-      signal: ac.signal,
+    response = await request(`http://${options.at}${options.path}`, {
+      method: options.method as Dispatcher.HttpMethod,
+      headers: options.headers,
+      body: options.body,
+      signal: abort.signal,
       dispatcher: own ?? agent,
     });
-  } catch (e) {
+  } catch (error) {
     drop();
-    const code = (e as NodeJS.ErrnoException).code ?? (e as Error).name;
-    throw fault.make({ step: 'http.call', sibling: c.at, sent: !neverSent.has(code), code }, fault.text(e), e);
+    const code = (error as NodeJS.ErrnoException).code ?? (error as Error).name;
+    throw fault.make(
+      { step: 'http.call', sibling: options.at, sent: !neverSent.has(code), code },
+      fault.text(error),
+      error,
+    );
   } finally {
     clearTimeout(late);
   }
-  const silence = c.silence ?? us.s(30);
+  const silence = options.silence ?? us.s(30);
   const cut = (): void => {
-    res.body.on('error', () => undefined);
-    res.body.destroy();
+    response.body.on('error', () => undefined);
+    response.body.destroy();
     drop();
   };
-  const body = async function* (): AsyncIterable<string> {
-    const dec = new TextDecoder();
-    let quiet: NodeJS.Timeout | undefined;
-    const arm = (): void => {
-      clearTimeout(quiet);
-      quiet = setTimeout(() => res.body.destroy(new Error('silence')), silence / 1000);
-    };
-    try {
-      arm();
-      for await (const d of res.body) {
-        clearTimeout(quiet);
-        yield dec.decode(d as Uint8Array, { stream: true });
-        arm();
-      }
-      const rest = dec.decode();
-      if (rest) yield rest;
-    } catch (e) {
-      throw fault.make({ step: 'http.body', sibling: c.at, sent: true }, fault.text(e), e);
-    } finally {
-      clearTimeout(quiet);
-      drop();
-    }
+  return {
+    status: response.statusCode,
+    headers: flatHeaders(response.headers),
+    body: textOf(response.body, options.at, silence, drop),
+    cut,
   };
-  return { status: res.statusCode, headers: flatHeaders(res.headers), body: body(), cut };
 };
--- a/packages/runtime/src/http-server.ts
+++ b/packages/runtime/src/http-server.ts
@@ -79,15 +79,15 @@
   };
 };
 
-/** A handler as Node's own servers call it; for a path that is not `ours` the next one is called, if there is one. */
+/** A handler as Node's own servers and polka call it. */
 export type Listener = (req: http.IncomingMessage, res: http.ServerResponse, next?: () => void) => void;
 /** Most requests are passed on as bytes: their text and query are made only if somebody reads them. */
-const asked = (req: http.IncomingMessage, u: URL, bytes: Buffer, tooBig: boolean): HttpAsk => {
+const asked = (req: http.IncomingMessage, url: URL, bytes: Buffer, tooBig: boolean): HttpAsk => {
   let text: string | undefined;
   let query: Record<string, string> | undefined;
   const ask = {
     method: req.method ?? 'GET',
-    path: u.pathname,
+    path: url.pathname,
     target: req.url ?? '/',
     headers: flatHeaders(req.headers),
     rawHeaders: req.rawHeaders,
@@ -96,7 +96,7 @@
   };
   return Object.defineProperties(ask, {
     body: { get: () => (text ??= bytes.toString('utf8')), enumerable: true },
-    query: { get: () => (query ??= Object.fromEntries(u.searchParams)), enumerable: true },
+    query: { get: () => (query ??= Object.fromEntries(url.searchParams)), enumerable: true },
   }) as unknown as HttpAsk;
 };
 const addressOf = (req: http.IncomingMessage): URL | undefined => {
@@ -106,59 +106,70 @@
     return undefined;
   }
 };
+/**
+ * Reads a request whole and hands it to `handler`; if that rejects, the answer is cut.
+ * @param maxBody bytes; a longer body is dropped and the request marked `tooBig`, one over four times as long ends the
+ * connection
+ * @param ours whether a path is served here; for any other path `next` is called, if there is one
+ */
 export const listener =
   (handler: HttpHandler, maxBody: number | (() => number), ours: (path: string) => boolean = () => true): Listener =>
   (req, res, next) => {
     const out = say(req, res);
-    const u = addressOf(req);
-    if (!u) {
+    const url = addressOf(req);
+    if (!url) {
       out.head(400, { 'content-type': 'application/json' });
       out.end('{"error":"bad_field","field":"path","ran":"no"}');
       return;
     }
-    if (next && !ours(u.pathname)) return next();
+    if (next && !ours(url.pathname)) return next();
     const most = typeof maxBody === 'number' ? maxBody : maxBody();
     const parts: Buffer[] = [];
     let size = 0;
     let tooBig = false;
-    req.on('data', (d: Buffer) => {
-      size += d.length;
+    req.on('data', (piece: Buffer) => {
+      size += piece.length;
       if (size > most) {
         tooBig = true;
         parts.length = 0;
-      } else parts.push(d);
+      } else parts.push(piece);
       if (size > most * 4) req.destroy();
     });
     req.on('end', () => {
-      const ask = asked(req, u, parts.length === 1 ? parts[0]! : Buffer.concat(parts), tooBig);
+      const ask = asked(req, url, parts.length === 1 ? parts[0]! : Buffer.concat(parts), tooBig);
       Promise.resolve()
         .then(() => handler(ask, out))
         .catch(() => out.cut());
     });
   };
 
+/**
+ * Listens at an address; port 0 takes a free one. Resolves with the address in use and `close`, which resolves when the
+ * open requests have ended. Rejects with step `http.bind` if the address cannot be bound. Timeouts are read anew each
+ * second, so that a changed configuration holds without a restart.
+ */
 export const serve: Net['serve'] = (at, handler, limits) =>
   new Promise((done, fail) => {
-    const l: HttpLimits = typeof limits === 'number' ? { maxBody: () => limits } : limits;
-    const server = http.createServer({ ...(l.maxHeader ? { maxHeaderSize: l.maxHeader } : {}) });
+    const checked: HttpLimits = typeof limits === 'number' ? { maxBody: () => limits } : limits;
+    const server = http.createServer({ ...(checked.maxHeader ? { maxHeaderSize: checked.maxHeader } : {}) });
     const setTimes = (): void => {
-      server.keepAliveTimeout = l.idleFor ? l.idleFor() / 1000 : 5_000;
-      if (l.headersWithin) server.headersTimeout = l.headersWithin() / 1000;
+      server.keepAliveTimeout = checked.idleFor ? checked.idleFor() / 1000 : 5_000;
+      if (checked.headersWithin) server.headersTimeout = checked.headersWithin() / 1000;
     };
     setTimes();
     const times = setInterval(setTimes, 1_000);
     times.unref();
-    const listen = listener(handler, l.maxBody);
+    const listen = listener(handler, checked.maxBody);
     const app = polka({
       server,
       onError: (_e, _req, res) => void (res as http.ServerResponse).destroy(),
       onNoMatch: (req, res) => listen(req as unknown as http.IncomingMessage, res as http.ServerResponse),
     });
-    server.on('error', (e) => fail(fault.make({ step: 'http.bind', sibling: at }, e.message, e)));
+    server.on('error', (error) => fail(fault.make({ step: 'http.bind', sibling: at }, error.message, error)));
     app.listen(place.port(at), place.host(at), () => {
-      const a = server.address() as net.AddressInfo;
+      const address = server.address() as net.AddressInfo;
       done({
-        at: `${a.address}:${a.port}`,
+        at: `${address.address}:${address.port}`,
         close: () =>
           new Promise((fin) => {
             clearInterval(times);
--- a/packages/simulation/src/disk.ts
+++ b/packages/simulation/src/disk.ts
@@ -33,6 +33,7 @@
   syncTime: Us;
   onSync: () => void;
 };
+/** What ended: the process alone, the machine's power with it, or the disk with all that it held. */
 export type DiskEnd = 'process' | 'power' | 'disk';
 
 const state = (): DiskState => ({
@@ -125,18 +126,25 @@
   host.disk.unsyncedBytes.clear();
 };
 
-/** The file calls of a data folder, over `host.files`. */
-const calls = <H extends DiskHost>(ground: DiskGround<H>, host: H): FileCalls => {
-  const { rand, now } = ground;
+/** Waits for a call that takes `after` (microseconds), and for as long as the disk hangs. */
+type Takes = (after: Us) => Promise<void>;
+const takesOf = <H extends DiskHost>({ now, later }: DiskGround<H>, host: H): Takes => {
   const disk = host.disk;
   const wait = (after: Us): Promise<void> =>
     new Promise((done) => {
-      ground.later(after, host, done);
+      later(after, host, done);
     });
-  const takes = async (after: Us): Promise<void> => {
+  return async (after) => {
     await wait(after);
     while (now() < disk.hangsUntil) await wait(disk.hangsUntil - now());
   };
+};
+
+type Syncs = { syncFolder: () => Promise<void>; syncFile: (name: string) => Promise<void> };
+/** Syncs of the folder and of single files, one after another as the disk takes them. */
+const syncsOf = <H extends DiskHost>(ground: DiskGround<H>, host: H, takes: Takes): Syncs => {
+  const { rand, now } = ground;
+  const disk = host.disk;
   const sync = async (): Promise<void> => {
     const time = (ground.syncTime * 0.2 + rand.int(Math.round(ground.syncTime * 0.8))) * disk.slow;
     disk.busyUntil = Math.max(now(), disk.busyUntil) + Math.round(time);
@@ -159,34 +167,20 @@
     const text = host.files.get(name);
     try {
       await sync();
-    } catch (e) {
+    } catch (error) {
       // Nobody knows what the disk holds then.
       if (text !== undefined) host.files.set(name, tornAt(text, rand.int(text.length + 1))[rand.int(4)]!);
-      throw e;
+      throw error;
     }
     if (host.files.get(name) === text) disk.unsyncedBytes.delete(name);
   };
-  const writeFile = async (name: string, text: string): Promise<void> => {
-    changeBytes(host, name, text.slice(0, rand.int(text.length)));
-    await takes(0);
-    if (disk.full) throw failure('ENOSPC');
-    changeBytes(host, name, text);
-  };
-  const open = async (at: unknown, flags: unknown): Promise<unknown> => {
-    const name = nameIn(at);
-    if (flags === 'w') {
-      await takes(0);
-      if (rand.next() < disk.fail.write) throw failure('EIO');
-      if (host.files.has(name)) changeBytes(host, name, '');
-      else changeName(host, name, '');
-    } else if (name !== '' && !host.files.has(name)) throw failure('ENOENT');
-    return {
-      writeFile: (text: string) => writeFile(name, text),
-      datasync: () => syncFile(name),
-      sync: () => (name === '' ? syncFolder() : syncFile(name)),
-      close: async () => undefined,
-    };
-  };
+  return { syncFolder, syncFile };
+};
+
+type NameCalls = { rename: (from: unknown, to: unknown) => Promise<void>; remove: (at: unknown) => Promise<void> };
+/** The calls that change what names stand for. */
+const nameCalls = <H extends DiskHost>({ rand }: DiskGround<H>, host: H, takes: Takes): NameCalls => {
+  const disk = host.disk;
   const rename = async (from: unknown, to: unknown): Promise<void> => {
     const [source, target] = [nameIn(from), nameIn(to)];
     const fails = rand.next() < disk.fail.rename;
@@ -208,6 +202,37 @@
     changeName(host, name, undefined);
     disk.unsyncedBytes.delete(name);
   };
+  return { rename, remove };
+};
+
+/** The file calls of a data folder, over `host.files`. */
+const calls = <H extends DiskHost>(ground: DiskGround<H>, host: H): FileCalls => {
+  const { rand } = ground;
+  const disk = host.disk;
+  const takes = takesOf(ground, host);
+  const { syncFolder, syncFile } = syncsOf(ground, host, takes);
+  const { rename, remove } = nameCalls(ground, host, takes);
+  const writeFile = async (name: string, text: string): Promise<void> => {
+    changeBytes(host, name, text.slice(0, rand.int(text.length)));
+    await takes(0);
+    if (disk.full) throw failure('ENOSPC');
+    changeBytes(host, name, text);
+  };
+  const open = async (at: unknown, flags: unknown): Promise<unknown> => {
+    const name = nameIn(at);
+    if (flags === 'w') {
+      await takes(0);
+      if (rand.next() < disk.fail.write) throw failure('EIO');
+      if (host.files.has(name)) changeBytes(host, name, '');
+      else changeName(host, name, '');
+    } else if (name !== '' && !host.files.has(name)) throw failure('ENOENT');
+    return {
+      writeFile: (text: string) => writeFile(name, text),
+      datasync: () => syncFile(name),
+      sync: () => (name === '' ? syncFolder() : syncFile(name)),
+      close: async () => undefined,
+    };
+  };
   const readFile = async (at: unknown): Promise<string> => {
     // Several at once do not end in the order in which they began.
     await takes(10 + rand.int(40));
@@ -232,6 +257,7 @@
   return simulated as unknown as FileCalls;
 };
 
+/** The simulated disk: its state, its calls, and what it holds after an end. */
 export const simulatedDisk = {
   state,
   /** The longest time of a sync where a world says nothing else. */
--- a/packages/simulation/src/guards.ts
+++ b/packages/simulation/src/guards.ts
@@ -711,8 +711,8 @@
     "a row's load is passed on to the other rows",
     'urgent',
     'data-plane/src/load-exchange.js',
-    'passOn(message);\n            o.onReceived();',
-    'o.onReceived();',
+    'passOn(message);\n            options.onReceived();',
+    'options.onReceived();',
     { test: 'simulation/test/load.test.js' },
   ),
   g(
--- a/packages/simulation/src/measurement/registers.ts
+++ b/packages/simulation/src/measurement/registers.ts
@@ -47,10 +47,7 @@
 };
 
 /** `syncTime` in the mean; a third of the changes are the first of their key. */
-export const simulated = async (
-  row: Row,
-  o: { syncTime: Us; rate: number; span: Us },
-): Promise<void> => {
+export const simulated = async (row: Row, o: { syncTime: Us; rate: number; span: Us }): Promise<void> => {
   const w = world.open({
     seed: 1,
     zoneDelay: us.ms(1),
--- a/packages/simulation/test/repair.test.ts
+++ b/packages/simulation/test/repair.test.ts
@@ -4,7 +4,8 @@
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
 import { us, type Us } from '@thornsail/runtime';
-import { repairPlans, repairRun } from '../src/repair-run.js';
+import { repairPlans } from '../src/repair-plans.js';
+import { repairRun } from '../src/repair-run.js';
 
 const seeds = Number(process.env['REPAIR_SEEDS'] ?? 2);
 /** A newcomer's start until its group bears the next loss. */
--- a/packages/test-harness/src/known-red.ts
+++ b/packages/test-harness/src/known-red.ts
@@ -29,6 +29,7 @@
 const failedTitles = (output: string): string[] =>
   [...output.matchAll(/^\s*FAIL\s+(?:\S+\s+)?"(.*)"\s*$/gm)].map((match) => match[1]!);
 
+/** Reads the list and holds the outcome of test files against it. */
 export const knownRed = {
   /**
    * Reads the list.
