--- a/packages/consensus/src/driver.ts
+++ b/packages/consensus/src/driver.ts
@@ -17,6 +17,8 @@
   leader: () => Place | undefined;
   /** True while this leader was confirmed by a quorum lately. */
   isLeaseValid: () => boolean;
+  /** Whether a member has acknowledged something of this leader lately; always true of itself. */
+  isInTouch: (memberId: string) => boolean;
   /** Resolves once synced at a quorum. An error with code `moved` was not taken; `unknown` may have been. */
   propose: <R>(change: Change<S, R>) => Promise<{ index: number; result: R }>;
   /** The committed state, confirmed by a quorum after the time of asking. Errors: `moved`, `unknown`. */
@@ -36,7 +38,7 @@
   timing?: Partial<Timing>;
 };
 
-const tickInterval: Us = us.ms(25);
+const tickInterval: Us = us.ms(50);
 /** Codes of a write that the caller is told of; any other error is a fault of this program. */
 const diskErrors = ['full', 'failed'];
 
@@ -248,6 +250,7 @@
     committed: () => state.committed,
     leader: () => state.leader,
     isLeaseValid: () => replica.isLeaseValid(state, lens.clock.now()),
+    isInTouch: (memberId) => replica.isInTouch(state, memberId, lens.clock.now()),
     propose: <R>(change: Change<S, R>) =>
       io.proposals.add((proposal) => io.dispatch({ type: 'propose', proposal, change })) as Promise<{
         index: number;
--- a/packages/consensus/src/group-duties.ts
+++ b/packages/consensus/src/group-duties.ts
@@ -4,7 +4,7 @@
 import { groups } from './groups.js';
 import { order, type NodeEntry, type Ordered } from './order.js';
 import { presence, sparesOf, spreadOver, type Presence } from './presence.js';
-import { repair, type ReplicaGroup, type RepairStep } from './repair.js';
+import { repair, type Condition, type ReplicaGroup, type RepairStep } from './repair.js';
 import type { Marked, Member, Views } from './views.js';
 
 /** How many members each group should have. */
@@ -33,7 +33,19 @@
   keepers: (ordered: Ordered) => ReplicaGroup;
   towers: (ordered: Ordered, members: Member[]) => ReplicaGroup;
 };
-const groupReader = (present: Presence, sizes: GroupSizes): GroupReader => {
+/**
+ * The leader hears the coordinators itself, and sooner than the roster says so: one that answers is not removed, and
+ * one that does not is no part of the majority that a change relies on. One that is gone stays gone.
+ */
+const conditionByContact = (condition: Condition, isInTouch: boolean): Condition => {
+  if (isInTouch && (condition === 'silent' || condition === 'overdue')) return 'serving';
+  return !isInTouch && condition === 'serving' ? 'silent' : condition;
+};
+const heardDirectly = (group: ReplicaGroup, isInTouch: (id: string) => boolean): ReplicaGroup => ({
+  ...group,
+  members: group.members.map(({ id, condition }) => ({ id, condition: conditionByContact(condition, isInTouch(id)) })),
+});
+const groupReader = (present: Presence, sizes: GroupSizes, isInTouch: (id: string) => boolean): GroupReader => {
   const groupOf = (ordered: Ordered, members: Member[], spares: NodeEntry[], size: number): ReplicaGroup => ({
     members: members.map((member) => ({
       id: member.id,
@@ -49,7 +61,10 @@
       const group = groupOf(ordered, members, sparesOf(ordered, 'keeper', members), sizes.keepers);
       return { ...group, settled: mark > 0 && swept === mark };
     },
-    towers: (ordered, members) => groupOf(ordered, members, sparesOf(ordered, 'tower', members), sizes.towers),
+    towers: (ordered, members) => {
+      const group = groupOf(ordered, members, sparesOf(ordered, 'tower', members), sizes.towers);
+      return heardDirectly(group, isInTouch);
+    },
   };
 };
 
@@ -128,7 +143,7 @@
 export const groupDuties = {
   open: (options: DutyOptions): GroupDuties => {
     const { views, sizes } = options;
-    const reader = groupReader(presence.open(options), sizes);
+    const reader = groupReader(presence.open(options), sizes, views.isInTouch);
     const duties = [keeperFormation(options), keeperRepair(options, reader), towerRepair(options, reader)];
     /** One step for each group; false if nothing was due. */
     const once = async (): Promise<boolean> => {
--- a/packages/consensus/src/leader.ts
+++ b/packages/consensus/src/leader.ts
@@ -156,6 +156,7 @@
   const { replication } = state;
   if (replication?.snapshot.index === snapshot.index && reply?.ok && reply.index >= snapshot.index) {
     replication.acknowledged.push(member.id);
+    state.acknowledgedAt.set(member.id, replication.startedAt);
     commitIfQuorum(step);
   } else if (reply && !reply.ok && reply.term > state.term) yieldTo(step, reply.term);
   else if (replication)
@@ -260,6 +261,7 @@
   round.pending -= 1;
   if (reply?.ok) {
     round.acknowledged.push(request.member.id);
+    state.acknowledgedAt.set(request.member.id, round.startedAt);
     if (state.accepted && reply.index < state.accepted.index) catchUp(step, request.member);
   } else if (reply && reply.term > round.term) yieldTo(step, reply.term);
   else if (reply?.index === noCommit) catchUp(step, request.member);
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -59,6 +59,7 @@
     nextRound: 1,
     rounds: new Map(),
     catchingUp: new Set(),
+    acknowledgedAt: new Map(),
     quorumAt: now,
     leaseFrom: 0,
     closed: false,
@@ -205,4 +206,7 @@
   /** True while a quorum has confirmed this leader by a round that began within the lease. */
   isLeaseValid: <S>(state: ReplicaState<S>, now: Us): boolean =>
     state.role === 'leader' && now - state.leaseFrom < state.timing.lease,
+  /** Whether a member is this replica itself, or has acknowledged something of it that began within the lease. */
+  isInTouch: <S>(state: ReplicaState<S>, memberId: string, now: Us): boolean =>
+    memberId === state.id || now - (state.acknowledgedAt.get(memberId) ?? -Infinity) < state.timing.lease,
 };
--- a/packages/consensus/src/types.ts
+++ b/packages/consensus/src/types.ts
@@ -179,6 +179,8 @@
   nextRound: number;
   rounds: Map<number, HeartbeatRound<S>>;
   catchingUp: Set<string>;
+  /** When the round or version that a member acknowledged last had begun, by member. */
+  acknowledgedAt: Map<string, Us>;
   /** When a quorum last answered, by arrival, and when the round that it answered had begun. */
   quorumAt: Us;
   leaseFrom: Us;
--- a/packages/consensus/src/views.ts
+++ b/packages/consensus/src/views.ts
@@ -17,6 +17,7 @@
   done: () => Marked<S> | undefined;
   head: () => Place | undefined;
   led: () => boolean;
+  isInTouch: (memberId: string) => boolean;
   propose: <R>(change: Change<S, R>) => Promise<{ seq: number; result: R }>;
   agreed: () => Promise<Marked<S>>;
   close: () => void;
@@ -63,6 +64,7 @@
       },
       head: inner.leader,
       led: inner.isLeaseValid,
+      isInTouch: inner.isInTouch,
       propose: async (change) => {
         const { index, result } = await inner.propose(change);
         return { seq: index, result };
