HTTP server: a close lets ended answers be written out

The simulator's calls dropped what was on its way from a process that had ended, and sent no break either, so the caller met 2 s of silence. Over TCP the system still sends what was written. Calls now deliver that, and the break behind it, in order; what is on its way when the power goes stays lost.

The real server had a fault at the same moment, which the simulator did not show: Node counts a connection as idle, and closes it, as soon as its answer is ended. 32 MiB to a client that reads slowly were cut by the close that follows a drain, with a length and in chunks. A close now waits, 5 s at most, until ended answers are written out.

Whole suite not run.

--- a/packages/runtime/src/http-server.ts
+++ b/packages/runtime/src/http-server.ts
@@ -82,12 +82,12 @@
 /** A handler as Node's own servers call it; for a path that is not `ours` the next one is called, if there is one. */
 export type Listener = (req: http.IncomingMessage, res: http.ServerResponse, next?: () => void) => void;
 /** Most requests are passed on as bytes: their text and query are made only if somebody reads them. */
-const asked = (req: http.IncomingMessage, u: URL, bytes: Buffer, tooBig: boolean): HttpAsk => {
+const asked = (req: http.IncomingMessage, url: URL, bytes: Buffer, tooBig: boolean): HttpAsk => {
   let text: string | undefined;
   let query: Record<string, string> | undefined;
   const ask = {
     method: req.method ?? 'GET',
-    path: u.pathname,
+    path: url.pathname,
     target: req.url ?? '/',
     headers: flatHeaders(req.headers),
     rawHeaders: req.rawHeaders,
@@ -96,7 +96,7 @@
   };
   return Object.defineProperties(ask, {
     body: { get: () => (text ??= bytes.toString('utf8')), enumerable: true },
-    query: { get: () => (query ??= Object.fromEntries(u.searchParams)), enumerable: true },
+    query: { get: () => (query ??= Object.fromEntries(url.searchParams)), enumerable: true },
   }) as unknown as HttpAsk;
 };
 const addressOf = (req: http.IncomingMessage): URL | undefined => {
@@ -106,65 +106,113 @@
     return undefined;
   }
 };
+/**
+ * Reads requests whole and hands them to `handler`.
+ * @param maxBody the longest body that is kept, in bytes; of a longer one only `tooBig` is told
+ * @param ours the paths that are taken where there is a next listener
+ */
 export const listener =
   (handler: HttpHandler, maxBody: number | (() => number), ours: (path: string) => boolean = () => true): Listener =>
   (req, res, next) => {
     const out = say(req, res);
-    const u = addressOf(req);
-    if (!u) {
+    const url = addressOf(req);
+    if (!url) {
       out.head(400, { 'content-type': 'application/json' });
       out.end('{"error":"bad_field","field":"path","ran":"no"}');
       return;
     }
-    if (next && !ours(u.pathname)) return next();
+    if (next && !ours(url.pathname)) return next();
     const most = typeof maxBody === 'number' ? maxBody : maxBody();
     const parts: Buffer[] = [];
     let size = 0;
     let tooBig = false;
-    req.on('data', (d: Buffer) => {
-      size += d.length;
+    req.on('data', (bytes: Buffer) => {
+      size += bytes.length;
       if (size > most) {
         tooBig = true;
         parts.length = 0;
-      } else parts.push(d);
+      } else parts.push(bytes);
       if (size > most * 4) req.destroy();
     });
     req.on('end', () => {
-      const ask = asked(req, u, parts.length === 1 ? parts[0]! : Buffer.concat(parts), tooBig);
+      const ask = asked(req, url, parts.length === 1 ? parts[0]! : Buffer.concat(parts), tooBig);
       Promise.resolve()
         .then(() => handler(ask, out))
         .catch(() => out.cut());
     });
   };
 
+/** How long a close waits for clients that read the end of their answer slowly (§5.6), in microseconds. */
+const flushLimit = 5_000_000;
+/** The answers that a server still owes bytes to its clients. */
+type OpenAnswers = {
+  add: (res: http.ServerResponse) => void;
+  /** Resolves when every answer that has been ended is with the system, or has failed, at the latest at the limit. */
+  flushed: () => Promise<void>;
+};
+const openAnswers = (): OpenAnswers => {
+  const open = new Set<http.ServerResponse>();
+  const over = (res: http.ServerResponse): Promise<void> =>
+    new Promise((done) => {
+      res.once('close', done);
+    });
+  return {
+    add: (res) => {
+      open.add(res);
+      res.once('close', () => void open.delete(res));
+    },
+    flushed: async () => {
+      const unsent = [...open].filter((res) => res.writableEnded && !res.writableFinished);
+      if (!unsent.length) return;
+      let timer: NodeJS.Timeout | undefined;
+      const limit = new Promise<void>((done) => {
+        timer = setTimeout(done, flushLimit / 1000);
+      });
+      await Promise.race([Promise.all(unsent.map(over)), limit]);
+      clearTimeout(timer);
+    },
+  };
+};
+const serverClosed = (server: http.Server): Promise<void> =>
+  new Promise((done) => {
+    server.close(() => done());
+    server.closeIdleConnections();
+  });
+
+/**
+ * Serves HTTP at an address. Its `close` lets answers that were ended be written out, then ends idle connections and
+ * resolves once all are closed. Fails at step `http.bind` if the address can't be had.
+ */
 export const serve: Net['serve'] = (at, handler, limits) =>
   new Promise((done, fail) => {
-    const l: HttpLimits = typeof limits === 'number' ? { maxBody: () => limits } : limits;
-    const server = http.createServer({ ...(l.maxHeader ? { maxHeaderSize: l.maxHeader } : {}) });
+    const bounds: HttpLimits = typeof limits === 'number' ? { maxBody: () => limits } : limits;
+    const server = http.createServer({ ...(bounds.maxHeader ? { maxHeaderSize: bounds.maxHeader } : {}) });
     const setTimes = (): void => {
-      server.keepAliveTimeout = l.idleFor ? l.idleFor() / 1000 : 5_000;
-      if (l.headersWithin) server.headersTimeout = l.headersWithin() / 1000;
+      server.keepAliveTimeout = bounds.idleFor ? bounds.idleFor() / 1000 : 5_000;
+      if (bounds.headersWithin) server.headersTimeout = bounds.headersWithin() / 1000;
     };
     setTimes();
     const times = setInterval(setTimes, 1_000);
     times.unref();
-    const listen = listener(handler, l.maxBody);
+    const answers = openAnswers();
+    server.on('request', (_, res) => answers.add(res));
+    const listen = listener(handler, bounds.maxBody);
     const app = polka({
       server,
       onError: (_e, _req, res) => void (res as http.ServerResponse).destroy(),
       onNoMatch: (req, res) => listen(req as unknown as http.IncomingMessage, res as http.ServerResponse),
     });
-    server.on('error', (e) => fail(fault.make({ step: 'http.bind', sibling: at }, e.message, e)));
+    server.on('error', (cause) => fail(fault.make({ step: 'http.bind', sibling: at }, cause.message, cause)));
     app.listen(place.port(at), place.host(at), () => {
-      const a = server.address() as net.AddressInfo;
+      const bound = server.address() as net.AddressInfo;
       done({
-        at: `${a.address}:${a.port}`,
-        close: () =>
-          new Promise((fin) => {
-            clearInterval(times);
-            server.close(() => fin());
-            server.closeIdleConnections();
-          }),
+        at: `${bound.address}:${bound.port}`,
+        close: async () => {
+          clearInterval(times);
+          // Node takes a connection for idle, and destroys it, as soon as its answer is ended, written out or not.
+          await answers.flushed();
+          await serverClosed(server);
+        },
       });
     });
   });
--- /dev/null
+++ b/packages/runtime/test/closing.test.ts
@@ -0,0 +1,81 @@
+// A server that closes right behind an answer: what was said reaches a slow reader, and nobody holds up the close.
+import net from 'node:net';
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import { place, real, time, us, type HttpSay, type Place } from '@thornsail/runtime';
+
+const lens = real.lens('/nonexistent');
+/** More than the system's buffers of a loopback connection take from a server whose client does not read. */
+const answerBytes = 32 << 20;
+const answer = 'x'.repeat(answerBytes);
+
+/** Sends one request and reads nothing before `resume`; `read` gives the bytes received once the connection ended. */
+const slowClient = (at: Place): { resume: () => void; read: Promise<number>; leave: () => void } => {
+  const socket = net.connect({ host: place.host(at), port: place.port(at) });
+  let received = 0;
+  socket.pause();
+  socket.write('GET / HTTP/1.1\r\nhost: x\r\n\r\n');
+  const read = new Promise<number>((done) => {
+    socket.on('data', (bytes) => {
+      received += bytes.length;
+    });
+    socket.on('error', () => undefined);
+    socket.on('close', () => done(received));
+  });
+  return { resume: () => void socket.resume(), read, leave: () => void socket.destroy() };
+};
+
+/** Serves the long answer once and tells when its handler has ended it. */
+const serveOnce = async (
+  headers: Record<string, string>,
+): Promise<{ at: Place; close: () => Promise<void>; answered: Promise<void> }> => {
+  let onAnswered: () => void;
+  const answered = new Promise<void>((done) => {
+    onAnswered = done;
+  });
+  const handler = async (_: unknown, say: HttpSay): Promise<void> => {
+    say.head(200, headers);
+    say.end(answer);
+    onAnswered();
+  };
+  const server = await lens.net.serve('127.0.0.1:0', handler, 1000);
+  return { ...server, answered };
+};
+
+for (const [name, headers] of [
+  ['with a length', { 'content-length': String(answerBytes) }],
+  ['in chunks', {}],
+] as const)
+  test(`an answer ${name} that is still being written is not cut by the close`, async () => {
+    const server = await serveOnce(headers);
+    const client = slowClient(server.at);
+    await server.answered;
+    const closed = server.close();
+    await time.sleep(lens.clock, us.ms(100));
+    client.resume();
+    assert.ok((await client.read) > answerBytes, 'the whole answer and its head are received');
+    await closed;
+  });
+
+test('a client that never reads does not hold up the close for long', async () => {
+  const server = await serveOnce({});
+  const client = slowClient(server.at);
+  await server.answered;
+  const begun = lens.clock.now();
+  await server.close();
+  assert.ok(lens.clock.now() - begun < us.s(8));
+  client.leave();
+});
+
+test('a close with nothing left to write is immediate', async () => {
+  const server = await lens.net.serve('127.0.0.1:0', async (_, say) => say.end(''), 1000);
+  const client = slowClient(server.at);
+  client.resume();
+  await time.sleep(lens.clock, us.ms(100));
+  const begun = lens.clock.now();
+  await server.close();
+  assert.ok(lens.clock.now() - begun < us.s(1));
+  assert.ok((await client.read) > 0);
+});
+
+test.run();
--- a/packages/simulation/src/guards.ts
+++ b/packages/simulation/src/guards.ts
@@ -758,6 +758,22 @@
     'if (false)',
     { test: 'runtime/test/clients.test.js' },
   ),
+  g(
+    'a server closes behind the answers it still writes',
+    'answers',
+    'runtime/src/http-server.js',
+    'await answers.flushed();',
+    '',
+    { test: 'runtime/test/closing.test.js' },
+  ),
+  g(
+    'a call receives what was written before its server ended',
+    'answers',
+    'simulation/src/world.js',
+    'h.inc === hInc && !powerLost',
+    'same() && !powerLost',
+    { test: 'simulation/test/link.test.js' },
+  ),
   g(
     'a connection is not kept for a worker that left the list',
     'answers',
--- a/packages/simulation/src/world.ts
+++ b/packages/simulation/src/world.ts
@@ -372,9 +372,11 @@
               nudge();
             }
           };
-          /** The other side's process ended: the pipe breaks. */
+          let powerLost = false;
+          /** The other process ended: the connection breaks behind what it wrote; with its power that is lost too. */
           const theirs = (silent: boolean): void => {
-            if (!silent && !severed(t, h)) later(delay(h, t), h, broke);
+            if (silent) powerLost = true;
+            else if (!severed(t, h)) deliver(t, h, () => void (h.inc === hInc && broke()));
           };
           /** This side's process ended. */
           const mine = (silent: boolean): void => {
@@ -427,17 +429,19 @@
                   pieces.push(bytesOf(piece));
                 });
               toCaller(() => {
+                t.open.delete(theirs);
                 if (over === null) {
                   over = 'end';
                   nudge();
                 }
               });
-              t.open.delete(theirs);
             },
             cut: () => {
-              t.open.delete(theirs);
               isGone = true;
-              toCaller(broke);
+              toCaller(() => {
+                t.open.delete(theirs);
+                broke();
+              });
             },
             gone: () => isGone,
             onGone: (fn) => {
@@ -451,7 +455,8 @@
           const toCaller = (fn: () => void): void => {
             if (severed(t, h) || !same()) return;
             deliver(t, h, () => {
-              if (!severed(t, h) && same()) fn();
+              // The system still sends what a process wrote before it ended.
+              if (!severed(t, h) && h.inc === hInc && !powerLost) fn();
             });
           };
           const silence = req.silence ?? us.s(30);
--- a/packages/simulation/test/link.test.ts
+++ b/packages/simulation/test/link.test.ts
@@ -326,4 +326,35 @@
     assert.is(size, 200_000);
     assert.ok(over);
   }));
+/** What a call receives of an answer whose server ends, in this way, right behind its last byte. */
+const answerOfEnding = async (how: 'process' | 'power'): Promise<string> => {
+  let outcome = '';
+  await simulated(1, async (p) => {
+    const there = p.w.lens(p.server);
+    await there.net.serve(
+      '10.0.0.2:81',
+      async (_, say) => {
+        say.head(200, {});
+        say.write('whole');
+        say.end();
+        p.w.kill(p.server, how);
+      },
+      1000,
+    );
+    try {
+      const call = { at: '10.0.0.2:81', method: 'GET', path: '/', timeLeft: us.s(1), silence: us.s(1) };
+      const r = await p.lens.net.call(call);
+      for await (const piece of r.body) outcome += piece;
+    } catch {
+      outcome = 'failed';
+    }
+  });
+  return outcome;
+};
+test('a call receives what its server wrote before its process ended', async () => {
+  assert.is(await answerOfEnding('process'), 'whole');
+});
+test('a call does not receive what was on its way when its server lost power', async () => {
+  assert.is(await answerOfEnding('power'), 'failed');
+});
 test.run();
