--- a/packages/runtime/src/http-server.ts
+++ b/packages/runtime/src/http-server.ts
@@ -143,39 +143,77 @@
     });
   };
 
+/** How long a close waits for clients that read the end of their answer slowly (§5.6), in microseconds. */
+const flushLimit = 5_000_000;
+/** The answers that a server still owes bytes to its clients. */
+type OpenAnswers = {
+  add: (res: http.ServerResponse) => void;
+  /** Resolves when every answer that has been ended is with the system, or has failed, at the latest at the limit. */
+  flushed: () => Promise<void>;
+};
+const openAnswers = (): OpenAnswers => {
+  const open = new Set<http.ServerResponse>();
+  const over = (res: http.ServerResponse): Promise<void> =>
+    new Promise((done) => {
+      res.once('close', done);
+    });
+  return {
+    add: (res) => {
+      open.add(res);
+      res.once('close', () => void open.delete(res));
+    },
+    flushed: async () => {
+      const unsent = [...open].filter((res) => res.writableEnded && !res.writableFinished);
+      if (!unsent.length) return;
+      let timer: NodeJS.Timeout | undefined;
+      const limit = new Promise<void>((done) => {
+        timer = setTimeout(done, flushLimit / 1000);
+      });
+      await Promise.race([Promise.all(unsent.map(over)), limit]);
+      clearTimeout(timer);
+    },
+  };
+};
+const serverClosed = (server: http.Server): Promise<void> =>
+  new Promise((done) => {
+    server.close(() => done());
+    server.closeIdleConnections();
+  });
+
 /**
- * Listens at an address; port 0 takes a free one. Resolves with the address in use and `close`, which resolves when the
- * open requests have ended. Rejects with step `http.bind` if the address cannot be bound. Timeouts are read anew each
- * second, so that a changed configuration holds without a restart.
+ * Serves HTTP at an address. Its `close` lets answers that were ended be written out, then ends idle connections and
+ * resolves once all are closed. Fails at step `http.bind` if the address can't be had.
  */
 export const serve: Net['serve'] = (at, handler, limits) =>
   new Promise((done, fail) => {
-    const checked: HttpLimits = typeof limits === 'number' ? { maxBody: () => limits } : limits;
-    const server = http.createServer({ ...(checked.maxHeader ? { maxHeaderSize: checked.maxHeader } : {}) });
+    const bounds: HttpLimits = typeof limits === 'number' ? { maxBody: () => limits } : limits;
+    const server = http.createServer({ ...(bounds.maxHeader ? { maxHeaderSize: bounds.maxHeader } : {}) });
     const setTimes = (): void => {
-      server.keepAliveTimeout = checked.idleFor ? checked.idleFor() / 1000 : 5_000;
-      if (checked.headersWithin) server.headersTimeout = checked.headersWithin() / 1000;
+      server.keepAliveTimeout = bounds.idleFor ? bounds.idleFor() / 1000 : 5_000;
+      if (bounds.headersWithin) server.headersTimeout = bounds.headersWithin() / 1000;
     };
     setTimes();
     const times = setInterval(setTimes, 1_000);
     times.unref();
-    const listen = listener(handler, checked.maxBody);
+    const answers = openAnswers();
+    server.on('request', (_, res) => answers.add(res));
+    const listen = listener(handler, bounds.maxBody);
     const app = polka({
       server,
       onError: (_e, _req, res) => void (res as http.ServerResponse).destroy(),
       onNoMatch: (req, res) => listen(req as unknown as http.IncomingMessage, res as http.ServerResponse),
     });
-    server.on('error', (error) => fail(fault.make({ step: 'http.bind', sibling: at }, error.message, error)));
+    server.on('error', (cause) => fail(fault.make({ step: 'http.bind', sibling: at }, cause.message, cause)));
     app.listen(place.port(at), place.host(at), () => {
-      const address = server.address() as net.AddressInfo;
+      const bound = server.address() as net.AddressInfo;
       done({
-        at: `${address.address}:${address.port}`,
-        close: () =>
-          new Promise((fin) => {
-            clearInterval(times);
-            server.close(() => fin());
-            server.closeIdleConnections();
-          }),
+        at: `${bound.address}:${bound.port}`,
+        close: async () => {
+          clearInterval(times);
+          // Node takes a connection for idle, and destroys it, as soon as its answer is ended, written out or not.
+          await answers.flushed();
+          await serverClosed(server);
+        },
       });
     });
   });
--- a/packages/test-harness/src/callers.ts
+++ b/packages/test-harness/src/callers.ts
@@ -183,6 +183,10 @@
       if (ran === 'yes') story.ok = true;
       if (ran === 'no') story.no.push(clock.now());
     };
+    /** No answer: of one that was not sent it is known that this copy did not run. No node has promised it of the key. */
+    const tellUnanswered = (key: string | null, sent: boolean): void => {
+      if (key !== null) storyOf(key).ran.push(sent ? 'unknown' : 'no');
+    };
 
     const send = (a: Ask): Promise<HttpResult> =>
       lens.net.call({
@@ -211,7 +215,7 @@
       // The pipe stood, yet nothing came, or nothing more.
       if ((silent && !o.stalls) || (!first && info.sent && waited > patience))
         if (!o.excused(a.at, begun)) s.silences.push({ program: a.program, begun, waited, what: 'cut after silence' });
-      tellStory(a.key, info.sent === false ? 'no' : 'unknown');
+      tellUnanswered(a.key, info.sent !== false);
       return {
         ok: false,
         why: info.step ?? 'failed',
@@ -368,7 +372,7 @@
         if (once) tellStory(key, b.ran ?? 'unknown');
         return b.error === 'outcome_unknown' && once ? 'done' : (retry ?? us.ms(200));
       } catch (e) {
-        if (once) tellStory(key, fault.notSent(e) ? 'no' : 'unknown');
+        if (once) tellUnanswered(key, !fault.notSent(e));
         s.failed += 1;
         return us.ms(50);
       }
