Consensus: a question to the node's own coordinator ends at its limit

An operator's call at the leader waited for as long as its coordinator's round took: a question to the own address goes over no connection, and only connections had the limit. answer-time.test asks everything at each of five coordinators under eight troubles: before, 6 of 8 passed (calls at the leader without an answer for 1 s with two of five cut off and with slow disks, others answered after 958 ms); with the limit 8 of 8, 807 ms at most. Ruled out: the two calls of an amendment, they share one time; control.ts and operator.ts are unchanged.

--- a/packages/consensus/src/client.ts
+++ b/packages/consensus/src/client.ts
@@ -1,5 +1,5 @@
 // How any node reaches the coordinators (§3.3): the leader it knew last, then a redirect, then the others.
-import { fault, time, us, type Lens, type Place, type Us } from '@thornsail/runtime';
+import { fault, time, us, type Clock, type Lens, type Place, type Us } from '@thornsail/runtime';
 import type { Pipe } from '@thornsail/rpc';
 import type { CoreAsk, CoreResult } from './core.js';
 
@@ -34,10 +34,24 @@
   lastError: unknown;
 };
 
+/** A question to the node's own coordinator goes over no pipe, so nothing else bounds it. */
+const answerWithin = <T>(clock: Clock, limit: Us, to: Place, answer: Promise<T>): Promise<T> =>
+  new Promise((resolve, reject) => {
+    const stopTimer = clock.tick(limit, () =>
+      reject(fault.make({ step: 'core', sibling: to, code: 'unknown' }, 'no answer in time')),
+    );
+    answer.then(resolve, reject).finally(stopTimer);
+  });
+
 /** One member's answer, if it is an agreed one; what it says of the leader is remembered. */
 const askOne = async (client: Client, to: Place, ask: CoreAsk, limit: Us): Promise<Agreed | undefined> => {
   try {
-    const result = await client.pipe.ask<CoreResult>(to, 'core', ask, limit);
+    const result = await answerWithin(
+      client.lens.clock,
+      limit,
+      to,
+      client.pipe.ask<CoreResult>(to, 'core', ask, limit),
+    );
     if (result.ok) {
       client.leader = to;
       return result;
