--- a/packages/test-harness/src/callers.ts
+++ b/packages/test-harness/src/callers.ts
@@ -183,7 +183,7 @@
       if (ran === 'yes') story.ok = true;
       if (ran === 'no') story.no.push(clock.now());
     };
-    /** No answer: of one that was not sent it is known that this copy did not run. No node has promised it of the key. */
+    /** No answer: one that was not sent did not run, and no node has promised it of the key. */
     const tellUnanswered = (key: string | null, sent: boolean): void => {
       if (key !== null) storyOf(key).ran.push(sent ? 'unknown' : 'no');
     };
