--- a/packages/simulation/src/measurement/capacity/messages.ts
+++ b/packages/simulation/src/measurement/capacity/messages.ts
@@ -21,8 +21,13 @@
 
 const isControl = (kind: string): boolean => !kind.startsWith('load') && !kind.startsWith('news.load');
 
-/** Turns that begin and end at every front, ten times a second, without a request: what runs changes all the time. */
-const stir = (h: Hollow): void => {
+/** For how long turns are stirred, in seconds. */
+const stirred = 4;
+/**
+ * Turns that begin and end at every front, without a request: what runs changes all the time. `every` is the time
+ * between two changes in milliseconds: few fronts show the phase of their timers if it divides the pause between news.
+ */
+const stir = (h: Hollow, every: number): void => {
   const step = (i: number): void => {
     for (const n of h.of('front')) {
       const adm = n.node?.fairway?.admission;
@@ -32,7 +37,7 @@
       else void adm.slot('chat', { hint: worker.id, not: new Set(), force: true, limit: 0, service: 'model-0' });
     }
   };
-  for (let i = 0; i < 40; i++) h.w.at(h.w.now() + i * us.ms(100), () => step(i));
+  for (let i = 0; i * every < stirred * 1000; i++) h.w.at(h.w.now() + i * us.ms(every), () => step(i));
 };
 
 export const messages: Part = async (sizes) => {
@@ -40,8 +45,7 @@
   const rows: Record<string, Point[]> = {};
   const put = (name: string, x: number, y: number): void => void (rows[name] ??= []).push([x, y]);
   const span = sizes === 'small' ? 2 : 6;
-  const stirred = 4;
-  for (const edges of pick(sizes, [4, 8, 16, 32], [2, 3, 4, 5])) {
+  for (const edges of pick(sizes, [4, 8, 16, 32], [2, 4, 6, 8])) {
     const h = await hollow.open({ edges });
     if (!h) throw new Error(`${edges} edges did not come up`);
     const processes = h.nodes.length;
@@ -85,7 +89,7 @@
       meanOf(h, 'keeper', (n) => total(n.tally.got, (k) => k === 'reg.read').messages / span),
     );
     h.clear();
-    stir(h);
+    stir(h, sizes === 'small' ? 33 : 100);
     await h.run(us.s(stirred));
     put(
       'load while turns change',
