Timelines of requests: histograms by class and stage (prom-client), a log line each

Cause: where the time of late programs goes was timed once by code that was thrown away. Every request now marks its stages (claim, context, charge, hold, slot, first event, stream, record) at both interfaces; /metrics has histograms, outcomes and workers, DEBUG=thornsail:requests a line each. Log texts may be functions, called only if they are logged.

--- a/packages/admin-api/src/index.ts
+++ b/packages/admin-api/src/index.ts
@@ -40,6 +40,8 @@
   name: string;
   ready: () => { ok: boolean; why: string[] };
   counts: () => Record<string, number>;
+  /** More metrics in the Prometheus text format, besides the counts. */
+  metrics?: () => Promise<string>;
   drain: () => Promise<void>;
 };
 export { control, type Control, type DrainState } from './control.js';
@@ -347,8 +349,9 @@
           return json(say, r.ok ? 200 : 503, { ready: r.ok, why: r.why }, r.ok ? {} : { 'retry-after': '1' });
         }
         if (ask.path === '/metrics' && ask.method === 'GET') {
+          const text = `${metrics(n)}${(await n.metrics?.()) ?? ''}`;
           say.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' });
-          say.end(metrics(n));
+          say.end(text);
           return;
         }
         if (!ask.path.startsWith(`${root}/`))
--- a/packages/data-plane/src/admission.ts
+++ b/packages/data-plane/src/admission.ts
@@ -65,7 +65,7 @@
 const openParts = (options: AdmissionOptions, config: () => Config | undefined) => {
   const { runtime, self, onChange, zone = '' } = options;
   const { clock } = runtime;
-  const rotation = (): number => Math.floor(clock.wallTime() / reportDelay);
+  const rotation = (): number => clock.wallTime() / reportDelay;
   const balancer = loadBalancer.open({ now: clock.now, self, rotation });
   const turns = programTurns.open(runtime);
   const tick = schedulerTick.open(runtime, turns, zone);
--- a/packages/data-plane/src/chat-turn.ts
+++ b/packages/data-plane/src/chat-turn.ts
@@ -11,6 +11,7 @@
 import { budgetAccountOf } from './records/budget-accounts.js';
 import { idempotencyKeyOf } from './records/idempotency-keys.js';
 import { elapsed } from './requests/deadline.js';
+import { openTimeline } from './requests/timeline.js';
 
 /** What the worker is given, and what that may cost. Tokens are counted as the scheduler counts them. */
 export type ChatContext = {
@@ -51,6 +52,7 @@
     plan,
     response,
     phases: phases.open(),
+    timeline: openTimeline(gateway, plan.cls, plan.program),
     arrivedAt: gateway.runtime.clock.now(),
     id,
     chargeId: id,
@@ -91,6 +93,7 @@
 ): 'answered' => {
   const { gateway, response } = turn;
   turn.phases.transition('reject');
+  turn.timeline.ended(code);
   leaveScheduler(turn);
   turn.closing = true;
   void closeRecords(turn).finally(() => gateway.inFlight.delete(turn.id));
--- a/packages/data-plane/src/chat.ts
+++ b/packages/data-plane/src/chat.ts
@@ -32,6 +32,7 @@
 /** Reads what is stored: the conversation, and of a program that is new to this gateway its budget record (§4.4). */
 const readContext = async (turn: ChatTurn): Promise<StepResult> => {
   const { gateway, plan } = turn;
+  turn.timeline.enter('context');
   try {
     const [stored, budgetRecord] = await Promise.all([
       plan.conversation === null ? undefined : gateway.conversations.read(plan.conversation, remaining(turn)),
@@ -63,6 +64,7 @@
 /** The scheduler's decision: now, later at this boundary, or not at all (§4). */
 const admit = (turn: ChatTurn, onHold: () => void): Promise<Released> => {
   const { gateway, plan, context, response } = turn;
+  turn.timeline.enter('hold');
   const asked = gateway.admission.admitTurn(
     {
       turn: turn.chargeId,
@@ -96,6 +98,7 @@
 /** A worker with a free slot, waited for if need be. */
 const takeSlot = async (turn: ChatTurn): Promise<WorkerEntry | 'answered'> => {
   const { gateway, plan, response } = turn;
+  turn.timeline.enter('slot');
   const used = elapsed(turn);
   const limit = Math.min(
     slotTimeout - used,
@@ -146,6 +149,8 @@
   invariant.hold(turn.charged && turn.scheduled, 'a turn is charged and admitted before it is sent');
   turn.phases.transition('send');
   turn.sentTo = to.id;
+  turn.timeline.enter('first_event');
+  turn.timeline.sentTo(to.id, turn.preferred === null ? null : turn.preferred === to.id);
   const sentAt = gateway.runtime.clock.now();
   const reply = await worker.send(gateway.runtime, to, {
     path: formats.chat.path,
@@ -192,6 +197,7 @@
   const repeats = isSafe && remaining(turn) > 0 && !response.isClosed() && gateway.takeRetry();
   turn.phases.transition('lose');
   gateway.count('lost');
+  turn.timeline.ended('worker_lost');
   if (repeats && (await beginAgain(turn))) return 'continue';
   leaveScheduler(turn);
   if (outcome === 'empty') {
@@ -265,6 +271,7 @@
   try {
     await serve(turn);
   } finally {
+    turn.timeline.close();
     if (!turn.closing) gateway.inFlight.delete(turn.id);
     if (turn.chargeId !== turn.id) gateway.inFlight.delete(turn.chargeId);
     leaveScheduler(turn, turn.sentTo);
--- a/packages/data-plane/src/data-plane.ts
+++ b/packages/data-plane/src/data-plane.ts
@@ -12,6 +12,7 @@
 import type { Forwarding } from './forward/forward.js';
 import { storedTurns } from './forward/stored-turns.js';
 import type { Gateway } from './gateway.js';
+import { requestMetrics, type RequestMetrics } from './request-metrics.js';
 import { lifecycle as lifecycles, type Drain, type Lifecycle } from './lifecycle.js';
 import { productEntry } from './product-entry.js';
 import { budgetAccounts } from './records/budget-accounts.js';
@@ -42,6 +43,8 @@
   /** What callers may send, by the configuration in use; undefined before the first. */
   limits: () => Config['limits'] | undefined;
   counts: () => Record<string, number>;
+  /** Metrics of requests and workers in the Prometheus text format (§5.11). */
+  metrics: () => Promise<string>;
   admission: Admission;
   registers: Registers;
   close: () => void;
@@ -114,8 +117,19 @@
   retries: Retries;
   inFlight: Set<string>;
   count: (counter: string) => void;
+  metrics: RequestMetrics;
 };
-const openGateway = ({ options, view, admission, registers, reports, retries, inFlight, count }: Parts): Gateway => {
+const openGateway = ({
+  options,
+  view,
+  admission,
+  registers,
+  reports,
+  retries,
+  inFlight,
+  count,
+  metrics,
+}: Parts): Gateway => {
   const { runtime, rpc, membership } = options;
   const { id } = membership;
   const limits = (): Config['limits'] => view.config()!.limits;
@@ -132,6 +146,8 @@
     config: () => view.config()!,
     count,
     log: runtime.log('data-plane'),
+    requestEnded: metrics.observe,
+    workerOutcome: metrics.workerOutcome,
     inFlight,
     takeRetry: retries.take,
     refreshIfStale: view.refreshIfStale,
@@ -196,7 +212,8 @@
   const view = clusterView.open({ runtime, membership, registers, admission, connections, reports, count });
   rpc.on<{ turn: string }>('turn.open', validate.object({ turn: validate.string }), ({ turn }) => inFlight.has(turn));
   const stops = follow(options, view, reports, retries);
-  const gateway = openGateway({ options, view, admission, registers, reports, retries, inFlight, count });
+  const metrics = requestMetrics.open(runtime.log('requests'));
+  const gateway = openGateway({ options, view, admission, registers, reports, retries, inFlight, count, metrics });
   const lifecycle = lifecycles.open(runtime, inFlight);
   const turns = storedTurns.open({ clock, registers });
   const serveForwarded = forwardEntry.open(gateway, view, lifecycle, registers.known);
@@ -219,6 +236,7 @@
       config_mark: view.configVersion(),
       ...prefixed('register', registers.counts()),
     }),
+    metrics: metrics.text,
     admission,
     registers,
     close: () => {
--- a/packages/data-plane/src/forward/charge.ts
+++ b/packages/data-plane/src/forward/charge.ts
@@ -22,6 +22,7 @@
 export const readChain = async (request: Request): Promise<StepResult> => {
   const { plan, context, forwarding } = request;
   if (plan.previous === null) return 'continue';
+  request.timeline.enter('context');
   try {
     const chain = await forwarding.turns.chain(plan.previous, requests.recordTimeout(request));
     if (!chain) return requests.reject(request, 'no_such_turn', 'there is no such earlier turn', null);
@@ -46,6 +47,7 @@
   const { gateway, plan, reservations, placement } = request;
   reservations.account = account;
   placement.preferred = worker;
+  placement.contextAt = worker;
   // The line of turns was at another gateway before: that one forgets it (§4.4).
   if (worker === null) return;
   const line = lineOf(plan.turn!);
--- a/packages/data-plane/src/forward/finish.ts
+++ b/packages/data-plane/src/forward/finish.ts
@@ -27,6 +27,9 @@
 const endStream = async (request: Request, worker: WorkerEntry, rest: Uint8Array): Promise<'answered'> => {
   const { plan, forwarding, gateway, context, relayed, response } = request;
   const used = requests.tokensRelayed(request);
+  request.timeline.enter('record');
+  request.timeline.counted({ prompt: context.prompt, output: used });
+  request.timeline.ended('served');
   const settled = requests.settle(request, used, worker.id);
   try {
     if (plan.route.keepSeconds > 0) {
@@ -40,6 +43,7 @@
     requests.leaveScheduler(request, context.prompt + used, worker.id);
     request.phases.transition('lose');
     gateway.count('cut');
+    request.timeline.ended('not_kept');
     response.abort();
     return 'answered';
   }
@@ -62,6 +66,8 @@
   const { gateway, reservations, response } = request;
   const { status, headers, body } = answer;
   request.phases.transition('relay');
+  request.timeline.enter('record');
+  request.timeline.ended(status < 400 ? 'served' : `worker_${status}`);
   void requests.settle(request, 0, worker.id);
   requests.leaveScheduler(request, null, worker.id);
   if (reservations.key) {
@@ -98,6 +104,7 @@
     return 'continue';
   }
   gateway.count('lost');
+  request.timeline.ended(relayed.headSent ? 'cut' : 'worker_lost');
   if (relayed.headSent) return cutOff(request);
   void requests.settle(request, requests.tokensRelayed(request), null);
   requests.leaveScheduler(request, null, null);
@@ -123,6 +130,7 @@
 
 const clientLeft = (request: Request, worker: WorkerEntry): 'answered' => {
   request.gateway.count('orphaned');
+  request.timeline.ended('gone');
   request.phases.transition('lose');
   void requests.settle(request, requests.tokensRelayed(request), worker.id);
   requests.leaveScheduler(request, request.context.prompt, worker.id);
--- a/packages/data-plane/src/forward/place.ts
+++ b/packages/data-plane/src/forward/place.ts
@@ -12,6 +12,7 @@
     request.phases.transition('admit');
     return 'continue';
   }
+  request.timeline.enter('hold');
   const known = placement.preferred === null ? {} : { known: { tokens: context.prompt, worker: placement.preferred } };
   const asked = gateway.admission.admitTurn(
     {
@@ -48,6 +49,7 @@
 /** A worker with a free slot, waited for if need be. */
 export const takeSlot = async (request: Request): Promise<WorkerEntry | 'answered'> => {
   const { gateway, plan, placement } = request;
+  request.timeline.enter('slot');
   const asked = gateway.admission.acquireSlot(plan.cls, {
     preferred: placement.preferred,
     preferredHasContext: placement.warm,
--- a/packages/data-plane/src/forward/request.ts
+++ b/packages/data-plane/src/forward/request.ts
@@ -6,6 +6,7 @@
 import { settleCharge } from '../requests/charge.js';
 import { elapsed, minimumRecordTimeout } from '../requests/deadline.js';
 import type { ActiveRequest } from '../requests/steps.js';
+import { openTimeline } from '../requests/timeline.js';
 import type { Gateway } from '../gateway.js';
 import type { ErrorCode } from '../errors.js';
 import { phases } from '../phases.js';
@@ -37,6 +38,8 @@
   service: string;
   /** Tokens in an event of the service, as configured when the request came. */
   tokensPerEvent: number;
+  /** The worker that answered the turn before, as the program's record says. */
+  contextAt: string | null;
   /** The worker that the scheduler prefers. */
   preferred: string | null;
   /** The preferred worker has the context of the program's earlier turns. */
@@ -112,12 +115,14 @@
     plan,
     response,
     phases: phases.open(),
+    timeline: openTimeline(gateway, plan.cls, plan.turn?.program ?? null, arrivedAt),
     arrivedAt,
     id: `${gateway.id}.${gateway.runtime.rand.id()}`,
     reservations: { key: null, account: null, closing: false },
     placement: {
       service,
       tokensPerEvent: tokensPerEventOf(gateway, service),
+      contextAt: null,
       preferred: null,
       warm: false,
       forced: false,
@@ -200,6 +205,7 @@
 /** Gives the request up before anything was sent: the answer goes out first, the records follow. */
 const reject = (request: Request, code: ErrorCode, text: string, retryAfter: number | null): 'answered' => {
   request.phases.transition('reject');
+  request.timeline.ended(code);
   const programEnds = code === 'budget_spent' || code === 'no_such_turn';
   leaveScheduler(request, null, null, programEnds);
   request.reservations.closing = true;
--- a/packages/data-plane/src/forward/send.ts
+++ b/packages/data-plane/src/forward/send.ts
@@ -81,6 +81,7 @@
     head: (status, headers) => {
       gateway.admission.observeFirstToken(plan.cls, gateway.runtime.clock.now() - sentAt, placement.forced);
       if (request.phases.current() === 'sent') request.phases.transition('relay');
+      request.timeline.enter('stream');
       const version = dialect.headVersion(headers);
       // An answer never mixes two versions of weights.
       if (relayed.version !== null && version !== null && version !== relayed.version)
@@ -131,6 +132,10 @@
   return why === null ? outcome : { how: 'cut', why };
 };
 
+/** Whether a turn goes where the turn before it was answered; null: there was none. */
+const reachedContext = ({ plan, placement }: Request, worker: string): boolean | null =>
+  plan.previous === null ? null : worker === placement.contextAt;
+
 /** One worker: looked at again, sent to. `continue` if another one is to be chosen. */
 export const tryWorker = async (request: Request, worker: WorkerEntry): Promise<StepResult> => {
   const { gateway, plan, placement } = request;
@@ -147,6 +152,8 @@
     const lease = leaseOf(request, now);
     if (!lease) return another();
     request.phases.transition('send');
+    request.timeline.enter('first_event');
+    request.timeline.sentTo(now.id, reachedContext(request, now.id));
     placement.sends += 1;
     const sentAt = gateway.runtime.clock.now();
     const outcome = await exchangeWith(request, now, lease, sentAt);
--- a/packages/data-plane/src/gateway.ts
+++ b/packages/data-plane/src/gateway.ts
@@ -6,6 +6,8 @@
 import type { BudgetAccounts } from './records/budget-accounts.js';
 import type { Conversations } from './records/conversations.js';
 import type { IdempotencyKeys, KeyClaim } from './records/idempotency-keys.js';
+import type { WorkerOutcome } from './request-metrics.js';
+import type { TimelineObserver } from './request-timeline.js';
 import type { Responses } from './responses.js';
 
 /** One gateway, as the steps of a request see it. */
@@ -23,6 +25,9 @@
   /** Adds one to a counter. */
   count: (counter: string) => void;
   log: (text: string) => void;
+  /** Is told of each request that has ended, and of each exchange with a worker. */
+  requestEnded: TimelineObserver;
+  workerOutcome: (worker: string, outcome: WorkerOutcome) => void;
   /** Requests of this gateway whose records are not closed, by id. */
   inFlight: Set<string>;
   /** Takes one from the retry budget, if there is one left (§5.4). */
--- a/packages/data-plane/src/job.ts
+++ b/packages/data-plane/src/job.ts
@@ -15,6 +15,7 @@
 import { idempotencyKeyOf } from './records/idempotency-keys.js';
 import { lastCheck, lateText } from './requests/attempt.js';
 import { elapsed } from './requests/deadline.js';
+import { openTimeline } from './requests/timeline.js';
 import type { StepResult } from './requests/steps.js';
 import { worker } from './worker-request.js';
 
@@ -39,6 +40,7 @@
   ran?: Execution,
 ): 'answered' => {
   job.phases.transition('reject');
+  job.timeline.ended(code);
   releaseKey(job);
   job.gateway.responses.reject(job.response, code, text, ran ?? job.phases.execution(), retryAfter);
   return 'answered';
@@ -49,6 +51,7 @@
 /** A worker with a free slot, waited for if need be. */
 const takeSlot = async (job: JobRequest): Promise<WorkerEntry | 'answered'> => {
   const { gateway, plan, response } = job;
+  job.timeline.enter('slot');
   const limit = Math.min(slotTimeout - elapsed(job), remaining(job) - gateway.admission.expectedService(plan.cls));
   const asked = gateway.admission.acquireSlot(plan.cls, {
     preferred: null,
@@ -88,6 +91,7 @@
     return 'continue';
   }
   gateway.count('lost');
+  job.timeline.ended('worker_lost');
   gateway.responses.reject(job.response, 'worker_lost', text, 'unknown', plan.once ? null : 1);
   return 'answered';
 };
@@ -108,6 +112,8 @@
   const type = result.headers['content-type'] ?? 'application/json';
   const recorded = { status: result.status, type, body, finish: null, prompt: 0, completion: 0 };
   job.phases.transition('relay');
+  job.timeline.enter('record');
+  job.timeline.ended('served');
   if (job.claimed) await gateway.keys.recordResult(idempotencyKeyOf(plan), job.id, recorded);
   job.phases.transition('end');
   gateway.count('results');
@@ -139,6 +145,8 @@
     }
     if (job.phases.current() === 'admitted') job.phases.transition('charge');
     job.phases.transition('send');
+    job.timeline.enter('first_event');
+    job.timeline.sentTo(checked.id, null);
     const sentAt = gateway.runtime.clock.now();
     const reply = await worker.send(gateway.runtime, checked, {
       path: formats.job.path,
@@ -170,6 +178,7 @@
     plan,
     response,
     phases: phases.open(),
+    timeline: openTimeline(gateway, plan.cls, null),
     arrivedAt: gateway.runtime.clock.now(),
     id: `${gateway.id}.${gateway.runtime.rand.id()}`,
     claimed: false,
@@ -184,6 +193,7 @@
       if (to === 'answered' || (await tryWorker(request, to, round)) === 'answered') return;
     }
   } finally {
+    request.timeline.close();
     if (!request.closing) gateway.inFlight.delete(request.id);
   }
 };
--- a/packages/data-plane/src/relay.ts
+++ b/packages/data-plane/src/relay.ts
@@ -111,6 +111,8 @@
 ): Promise<RelayOutcome> => {
   const { gateway, plan, phases, response } = turn;
   if (phases.current() === 'sent') phases.transition('relay');
+  turn.timeline.enter('record');
+  turn.timeline.counted({ prompt: progress.promptTokens, output: outputTokens(progress) });
   try {
     await closeRecords(turn, progress, workerId);
   } catch (error) {
@@ -118,6 +120,7 @@
     return 'cut';
   }
   phases.transition('end');
+  turn.timeline.ended('served');
   gateway.count('results');
   stream.abort();
   if (response.isClosed()) return 'complete';
@@ -165,6 +168,7 @@
         if (piece.type === 'done') return await complete(turn, progress, workerId, stream);
         if (phases.current() === 'sent') {
           phases.transition('relay');
+          turn.timeline.enter('stream');
           gateway.admission.observeFirstToken(plan.cls, gateway.runtime.clock.now() - sentAt, turn.forced);
         }
         take(turn, progress, piece);
--- /dev/null
+++ b/packages/data-plane/src/request-metrics.ts
@@ -0,0 +1,76 @@
+/**
+ * Metrics of requests (§5.11): time by class and stage, outcomes, and what became of what was sent to each worker, in
+ * the Prometheus text format; and a log line for each request, for `npm run explain`.
+ */
+import type { Log, Microseconds } from '@thornsail/runtime';
+import { Counter, Histogram, Registry } from 'prom-client';
+import { stages, type TimelineObserver, type TimelineSummary } from './request-timeline.js';
+
+/** What became of one exchange with a worker. */
+export type WorkerOutcome = 'answered' | 'failed' | 'lost' | 'cut' | 'not_run' | 'abandoned';
+/** The metrics of one gateway. */
+export type RequestMetrics = {
+  observe: TimelineObserver;
+  workerOutcome: (worker: string, outcome: WorkerOutcome) => void;
+  /** The metrics as text. */
+  text: () => Promise<string>;
+};
+
+/** Upper bounds of the histogram's buckets, in seconds: from a cached read to a client's patience. */
+const buckets = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5];
+
+const inMs = (time: Microseconds): number => Math.round(time / 100) / 10;
+/** The log line of a request: field=value, with times in milliseconds. */
+const lineOf = (summary: TimelineSummary): string => {
+  const { className, program, byStage, total, outcome, workers, reachedContext, tokens } = summary;
+  const times = stages.filter((stage) => byStage.has(stage)).map((stage) => `${stage}=${inMs(byStage.get(stage)!)}`);
+  const fields = [
+    `class=${className}`,
+    `program=${program ?? '-'}`,
+    `outcome=${outcome}`,
+    `total=${inMs(total)}`,
+    ...times,
+    `workers=${workers.join(',') || '-'}`,
+    `at_context=${reachedContext === null ? '-' : String(reachedContext)}`,
+    `prompt=${tokens.prompt}`,
+    `output=${tokens.output}`,
+  ];
+  return fields.join(' ');
+};
+
+/** Opens the metrics of a gateway; `log` gets a line for each request. */
+export const requestMetrics = {
+  open: (log: Log): RequestMetrics => {
+    const registry = new Registry();
+    const registers = [registry];
+    const stageSeconds = new Histogram({
+      name: 'thornsail_request_stage_seconds',
+      help: 'Time of requests by class and stage',
+      labelNames: ['class', 'stage'] as const,
+      buckets,
+      registers,
+    });
+    const requests = new Counter({
+      name: 'thornsail_request_outcomes_total',
+      help: 'Requests by class and outcome',
+      labelNames: ['class', 'outcome'] as const,
+      registers,
+    });
+    const exchanges = new Counter({
+      name: 'thornsail_worker_outcomes_total',
+      help: 'Exchanges with workers by worker and outcome',
+      labelNames: ['worker', 'outcome'] as const,
+      registers,
+    });
+    return {
+      observe: (summary) => {
+        const { className, byStage, outcome } = summary;
+        for (const [stage, took] of byStage) stageSeconds.observe({ class: className, stage }, took / 1e6);
+        requests.inc({ class: className, outcome });
+        log(() => lineOf(summary));
+      },
+      workerOutcome: (worker, outcome) => exchanges.inc({ worker, outcome }),
+      text: () => registry.metrics(),
+    };
+  },
+};
--- a/packages/data-plane/src/requests/charge.ts
+++ b/packages/data-plane/src/requests/charge.ts
@@ -63,6 +63,7 @@
   <Request extends ActiveRequest>(rules: ChargeRules<Request>) =>
   async (request: Request, account: BudgetAccount): Promise<StepResult> => {
     const { gateway, response } = request;
+    if (!rules.isCharged(request)) request.timeline.enter('charge');
     const begun = gateway.runtime.clock.now();
     while (!rules.isCharged(request)) {
       let result: ChargeResult;
--- a/packages/data-plane/src/requests/claim.ts
+++ b/packages/data-plane/src/requests/claim.ts
@@ -32,6 +32,7 @@
   <Request extends ActiveRequest>(rules: ClaimRules<Request>) =>
   async (request: Request): Promise<StepResult> => {
     if (!rules.hasKey(request)) return 'continue';
+    request.timeline.enter('claim');
     const { gateway } = request;
     if (gateway.membership.stale() && (rules.whenStale === 'reject' || !(await gateway.refreshIfStale())))
       return rules.rejectStale(request);
--- a/packages/data-plane/src/requests/steps.ts
+++ b/packages/data-plane/src/requests/steps.ts
@@ -3,6 +3,7 @@
 import type { ErrorCode } from '../errors.js';
 import type { Gateway } from '../gateway.js';
 import type { Phases } from '../phases.js';
+import type { Timeline } from '../request-timeline.js';
 
 /** `answered`: the request has its final answer; `continue`: the next step follows, or the next worker. */
 export type StepResult = 'continue' | 'answered';
@@ -12,6 +13,8 @@
   gateway: Gateway;
   response: HttpResponseWriter;
   phases: Phases;
+  /** Where its time goes. */
+  timeline: Timeline;
   /** Names the request in its records: its claim and its charge. */
   id: string;
   arrivedAt: Microseconds;
--- /dev/null
+++ b/packages/data-plane/test/request-timeline.test.ts
@@ -0,0 +1,72 @@
+import { test } from 'uvu';
+import * as assert from 'uvu/assert';
+import type { Clock } from '@thornsail/runtime';
+import { requestMetrics } from '../src/request-metrics.js';
+import { requestTimeline, type TimelineSummary } from '../src/request-timeline.js';
+
+const clockAt = (): { clock: Clock; pass: (time: number) => void } => {
+  let now = 0;
+  const clock = { now: () => now, wallTime: () => now, schedule: () => () => undefined };
+  return {
+    clock,
+    pass: (time) => {
+      now += time;
+    },
+  };
+};
+
+test('the stages of a request add up to its whole time, also one that is entered twice', () => {
+  const { clock, pass } = clockAt();
+  const seen: TimelineSummary[] = [];
+  const observe = (summary: TimelineSummary): void => void seen.push(summary);
+  const timeline = requestTimeline.open({ clock, className: 'chat', program: 'p', arrivedAt: 0, observe });
+  timeline.enter('context');
+  pass(3000);
+  timeline.enter('slot');
+  pass(1000);
+  timeline.enter('first_event');
+  timeline.sentTo('w1', false);
+  pass(5000);
+  timeline.enter('slot');
+  pass(2000);
+  timeline.enter('first_event');
+  timeline.sentTo('w2', true);
+  pass(4000);
+  timeline.ended('served');
+  timeline.close();
+  timeline.close();
+  assert.is(seen.length, 1);
+  const { byStage, total, workers, reachedContext, outcome } = seen[0]!;
+  assert.equal(
+    [...byStage],
+    [
+      ['context', 3000],
+      ['slot', 3000],
+      ['first_event', 9000],
+    ],
+  );
+  assert.is(total, 15_000);
+  assert.equal(workers, ['w1', 'w2']);
+  assert.is(reachedContext, true);
+  assert.is(outcome, 'served');
+});
+test('metrics have the time by class and stage, outcomes, and what became of exchanges', async () => {
+  const { clock, pass } = clockAt();
+  const lines: string[] = [];
+  const metrics = requestMetrics.open((text) => void lines.push(typeof text === 'string' ? text : text()));
+  const { observe } = metrics;
+  const timeline = requestTimeline.open({ clock, className: 'chat', program: 'p/1', arrivedAt: 0, observe });
+  timeline.enter('charge');
+  pass(12_340);
+  timeline.ended('busy');
+  timeline.close();
+  metrics.workerOutcome('w1', 'failed');
+  const text = await metrics.text();
+  assert.match(text, 'thornsail_request_stage_seconds_sum{class="chat",stage="charge"} 0.01234');
+  assert.match(text, 'thornsail_request_outcomes_total{class="chat",outcome="busy"} 1');
+  assert.match(text, 'thornsail_worker_outcomes_total{worker="w1",outcome="failed"} 1');
+  assert.equal(lines, [
+    'class=chat program=p/1 outcome=busy total=12.3 charge=12.3 workers=- at_context=- prompt=0 output=0',
+  ]);
+});
+test.run();
--- a/packages/runtime/src/real.ts
+++ b/packages/runtime/src/real.ts
@@ -8,7 +8,7 @@
 import { listener, serve } from './http-server.js';
 import type { Clock } from './clock.js';
 import type { Random } from './random.js';
-import type { Runtime } from './runtime.js';
+import type { Log, Runtime } from './runtime.js';
 
 const clock: Clock = {
   now: () => Number(process.hrtime.bigint() / 1000n),
@@ -41,9 +41,11 @@
   },
 };
 
-const logs = (part: string): ((text: string) => void) => {
-  const d = debug(`thornsail:${part}`);
-  return (text) => d('%s', text);
+const logs = (part: string): Log => {
+  const logger = debug(`thornsail:${part}`);
+  return (text) => {
+    if (logger.enabled) logger('%s', typeof text === 'string' ? text : text());
+  };
 };
 
 export const real = {
@@ -55,8 +57,8 @@
     net: { openFrameTransport: frames, serveHttp: serve, request: call, connectHttp: connect },
     log: logs,
   }),
-  /** What a daemon says unless DEBUG says otherwise: all parts but the one that speaks for each program. */
+  /** What a daemon says unless DEBUG says otherwise: all parts but those that speak for each program or request. */
   logsByDefault: (): void => {
-    if (process.env['DEBUG'] === undefined) debug.enable('thornsail:*,-thornsail:admission');
+    if (process.env['DEBUG'] === undefined) debug.enable('thornsail:*,-thornsail:admission,-thornsail:requests');
   },
 };
--- a/programs/thornsail/src/roles.ts
+++ b/programs/thornsail/src/roles.ts
@@ -407,6 +407,7 @@
       http: o.http,
       ready: f.ready,
       counts: () => ({ ...commonCounts(p, m), ...f.counts() }),
+      metrics: f.metrics,
       drain: (o) => f.drain(o),
       stop: () => f.close(),
       callers: f.handle,
--- a/tools/simulation/src/world/world.ts
+++ b/tools/simulation/src/world/world.ts
@@ -149,7 +149,7 @@
   const loop = openEventLoop(options.seed);
   const network = openNetwork(loop, options);
   let syncs = 0;
-  let onLog: LogListener = () => undefined;
+  let onLog: LogListener | null = null;
   const diskGround: DiskGround<Host> = {
     rand: loop.rand,
     now: loop.now,
@@ -176,7 +176,7 @@
       clock: clockOf(network, host),
       disk: simulatedDisk.of(diskGround, host),
       net: netOf(network, host),
-      log: (part) => (text) => onLog(loop.now(), host.ip, part, text),
+      log: (part) => (text) => onLog?.(loop.now(), host.ip, part, typeof text === 'string' ? text : text()),
     }),
     wire: (host) => wireOf(network, host),
     run: loop.run,
