--- a/packages/load-balancer/src/class-shares.ts
+++ b/packages/load-balancer/src/class-shares.ts
@@ -43,6 +43,10 @@
 const unusedReserve = ({ slots, byClass }: Occupancy, className: string, reserve: number): number =>
   Math.ceil(reserve * slots) - (byClass.get(className) ?? 0);
 
+/** Whether another class of the service has a reserve that this one has to leave free. */
+export const mustLeaveReserve = (state: BalancerState, className: string, service: string): boolean =>
+  classesOfService(state, service).some(([other, { reserve }]) => other !== className && reserve > 0);
+
 /** Slots of a worker that a class may take: those free, less what other classes have reserved and do not use. */
 export const freeSlots = (state: BalancerState, occupancy: Occupancy, className: string, service: string): number => {
   let free = occupancy.slots - occupancy.running;
--- a/packages/load-balancer/src/selection.ts
+++ b/packages/load-balancer/src/selection.ts
@@ -1,6 +1,6 @@
 /** Which worker a turn goes to (§5.2): the preferred one if it may take the turn, else the one with the least load. */
 import type { Microseconds } from '@thornsail/runtime';
-import { freeSlots, mustGiveWay } from './class-shares.js';
+import { freeSlots, mustGiveWay, mustLeaveReserve } from './class-shares.js';
 import { reportDelay } from './report-delay.js';
 import type { SlotDealer } from './slot-dealer.js';
 import { occupancyOf, serviceOfClass, serviceOfWorker, type BalancerState } from './state.js';
@@ -12,7 +12,7 @@
   dealer: SlotDealer;
   self: string;
   now: () => Microseconds;
-  /** Counts up in step at all gateways: it says whose slots come first. */
+  /** Counts up in step at all gateways, fractions included: its whole part says whose slots come first. */
   rotation: () => number;
 };
 /** Selects a worker; null if none may take the turn now. */
@@ -21,19 +21,27 @@
 const isAvailable = (context: SelectionContext, worker: WorkerEntry, excluded?: ReadonlySet<string>): boolean =>
   !worker.leaving && !excluded?.has(worker.id) && (context.state.unhealthyUntil.get(worker.id) ?? 0) <= context.now();
 
+/** Part of a rotation after which what was acquired in the one before has been reported. */
+const settledAfter = 0.6;
+
 /** Whether this gateway's part of a worker's free slots has one left. */
 const hasDealtSlot = (
   { state, dealer, rotation }: SelectionContext,
   worker: WorkerEntry,
   free: number,
   waitedFor: Microseconds,
+  leavesReserve: boolean,
 ): boolean => {
   // Once the others have had the time to report that they want none, their parts are dealt again.
   const gateways = waitedFor >= reportDelay ? state.gateways.active : state.gateways.all;
   const recent = dealer.recentlyAcquired(worker.id);
-  const offset = (state.workerRanks.get(worker.id) ?? 0) + rotation();
-  const part = dealer.partOf(free + recent, gateways, offset);
-  return recent < Math.max(part, state.config?.limits.leastPart ?? 0);
+  const turn = rotation();
+  const offset = (state.workerRanks.get(worker.id) ?? 0) + Math.floor(turn);
+  const part = (at: number): number => dealer.partOf(free + recent, gateways, at);
+  // Who held a part until now may have used it, and its report is on its way: what is a reserve's stays free meanwhile.
+  const isSettled = !leavesReserve || turn - Math.floor(turn) >= settledAfter;
+  const dealt = isSettled ? part(offset) : Math.min(part(offset), part(offset - 1));
+  return recent < Math.max(dealt, state.config?.limits.leastPart ?? 0);
 };
 
 /** Gives all workers; where gateways have a least part, from another one on each time, or all would fill the same. */
@@ -58,6 +66,7 @@
       if (ownService === undefined) return null;
       const service = request.service ?? ownService;
       if (!force && mustGiveWay(state, className, ownService)) return null;
+      const leavesReserve = mustLeaveReserve(state, className, ownService);
       let best: WorkerEntry | null = null;
       let leastUsed = Infinity;
       for (const worker of candidates()) {
@@ -67,7 +76,7 @@
         const isPreferred = worker.id === preferred && free >= 1;
         // Free slots are dealt among turns that may go anywhere: this one would cost a prefill of its whole context.
         if (isPreferred && preferredHasContext) return worker;
-        if (!force && (free < 1 || !hasDealtSlot(context, worker, free, waitedFor))) continue;
+        if (!force && (free < 1 || !hasDealtSlot(context, worker, free, waitedFor, leavesReserve))) continue;
         if (isPreferred) return worker;
         const used = occupancy.running / occupancy.slots;
         if (used < leastUsed) {
--- a/packages/load-balancer/test/builders.ts
+++ b/packages/load-balancer/test/builders.ts
@@ -38,9 +38,16 @@
 export const openOneOf = (
   gateways: string[],
   self: string,
-  options: { config: Config; workers: WorkerEntry[]; now?: () => Microseconds; loads?: Load[] },
+  options: {
+    config: Config;
+    workers: WorkerEntry[];
+    now?: () => Microseconds;
+    rotation?: () => number;
+    loads?: Load[];
+  },
 ): LoadBalancer => {
-  const balancer = loadBalancer.open({ now: options.now ?? ((): number => 0), self });
+  const { now = (): number => 0, rotation = (): number => 0 } = options;
+  const balancer = loadBalancer.open({ now, self, rotation });
   balancer.setConfig(options.config);
   balancer.setWorkers(options.workers);
   const peers = gateways.filter((id) => id !== self);
--- a/packages/load-balancer/test/slot-dealing.test.ts
+++ b/packages/load-balancer/test/slot-dealing.test.ts
@@ -42,4 +42,21 @@
   }
   assert.is(firsts.size, 3, 'gateways that see the same do not all begin at the same worker');
 });
+test('right after a rotation no gateway takes a slot beside a reserve that another one may have just taken', () => {
+  const config = configOf({
+    classes: { chat: { kind: 'model', weight: 1 }, alarm: { kind: 'model', weight: 1, urgent: true, reserve: 0.5 } },
+    slots: { model: 4, app: 1 },
+  });
+  const gateways = ['e1', 'e2', 'e3', 'e4', 'e5', 'e6', 'e7'];
+  // None of them has heard yet of what the others took in the rotation before.
+  const takenIn = (rotation: number): number =>
+    gateways
+      .map((self) =>
+        fill(openOneOf(gateways, self, { config, workers: workersOf(['a']), rotation: () => rotation }), 'chat'),
+      )
+      .reduce((sum, { length }) => sum + length, 0);
+  assert.is(takenIn(4.9), 2, 'two of four slots are no reserve');
+  assert.is(takenIn(5.1), 1, 'only who had a part before uses one');
+  assert.is(takenIn(5.7), 2, 'by now all have heard of it');
+});
 test.run();
--- a/tools/simulation/src/guards/load-balancer.ts
+++ b/tools/simulation/src/guards/load-balancer.ts
@@ -30,7 +30,7 @@
     name: 'free slots are dealt out over the edges',
     rule: '11 urgent',
     file: 'load-balancer/src/selection.js',
-    find: 'return recent < Math.max(part, state.config?.limits.leastPart ?? 0);',
+    find: 'return recent < Math.max(dealt, state.config?.limits.leastPart ?? 0);',
     replacement: 'return true;',
     noticedBy: { test: 'load-balancer/test/slot-dealing.test.js' },
   }),
