--- a/packages/data-plane/src/admission.ts
+++ b/packages/data-plane/src/admission.ts
@@ -40,8 +40,10 @@
 /** This gateway's load in the form of the load update. */
 const loadOf = (turns: ProgramTurns, balancer: LoadBalancer): Omit<EdgeLoad, 'took' | 'uses'> => {
   const { tokensByWorker, pausedPrograms, smallestPausedTokens } = admissionScheduler.load(turns.state);
+  const exchanges = balancer.exchanges();
   return {
     load: balancer.load(),
+    ...(Object.keys(exchanges).length > 0 ? { exchanges } : {}),
     tokens: tokensByWorker,
     paused: pausedPrograms,
     smallest: smallestPausedTokens,
@@ -104,6 +106,11 @@
     return {
       ...turnCalls(parts, options.withoutScheduler ?? false),
       markUnhealthy: (worker) => balancer.markUnhealthy(worker, clock.now() + unhealthyFor),
+      recordExchange: (worker, succeeded) => {
+        balancer.recordExchange(worker, succeeded);
+        if (!succeeded) options.onChange();
+      },
+      ejected: balancer.ejected,
       worker: balancer.worker,
       setWorkers: (list) => {
         workers = list;
@@ -114,6 +121,7 @@
       hasWorkers: () => workers.some((worker) => !worker.leaving),
       setPeerLoads: (peers) => {
         balancer.setPeerLoads(peers.map(({ id, load }) => ({ id, load: load ?? emptyLoad() })));
+        balancer.setPeerExchanges(peers.map(({ exchanges }) => exchanges ?? {}));
         takePeerLoads(turns, peers);
         slots.serve();
       },
--- a/packages/data-plane/src/admission/types.ts
+++ b/packages/data-plane/src/admission/types.ts
@@ -8,7 +8,7 @@
   TurnCompletion,
 } from '@thornsail/admission-scheduler';
 import type { Config } from '@thornsail/config-schema';
-import type { Load, WorkerEntry } from '@thornsail/load-balancer';
+import type { ExchangeReport, Load, WorkerEntry } from '@thornsail/load-balancer';
 import type { Microseconds } from '@thornsail/runtime';
 
 /** What a gateway reports of itself to the others; the names are those of the message. */
@@ -23,6 +23,8 @@
   took: string[];
   /** The mark of the configuration in use here. */
   uses: number;
+  /** What became of its exchanges with workers that have failed requests lately; a former release tells none. */
+  exchanges?: ExchangeReport;
 };
 
 /** The scheduler's answer to a turn; `abandoned` if its caller has disconnected meanwhile. */
@@ -75,6 +77,8 @@
   likelyDelay: (className: string, forced?: boolean) => Microseconds;
   observeCharge: (took: Microseconds) => void;
   observeFirstToken: (className: string, took: Microseconds, forced: boolean) => void;
+  /** Takes in what became of an exchange with a worker (§5.2). */
+  recordExchange: (worker: string, succeeded: boolean) => void;
   /** Passes a worker by for a second. */
   markUnhealthy: (worker: string) => void;
   worker: (id: string) => WorkerEntry | undefined;
@@ -86,6 +90,8 @@
   /** Turns that run at a worker, at all gateways as far as this one has heard. */
   runningAt: (worker: string) => number;
   load: () => Omit<EdgeLoad, 'took' | 'uses'>;
+  /** Workers that are passed by because they fail more than the others do. */
+  ejected: () => string[];
   /** Turns that the scheduler holds. */
   heldTurns: () => number;
   /** Whether any turn waits for a slot here. */
--- a/packages/data-plane/src/forward/finish.ts
+++ b/packages/data-plane/src/forward/finish.ts
@@ -1,10 +1,11 @@
 // What follows an exchange with a worker (§5.4, §5.9): the end of its answer, another worker, or the request's end.
 import type { WorkerEntry } from '@thornsail/load-balancer';
-import { fault, time, duration } from '@thornsail/runtime';
+import { fault, time, duration, type Microseconds } from '@thornsail/runtime';
 import { closeTimeout } from '../requests/deadline.js';
 import type { StepResult } from '../requests/steps.js';
 import { events } from './events.js';
 import type { Outcome } from './exchange.js';
+import { isRepeatable } from './plan.js';
 import { requests, type Request } from './request.js';
 
 /** Line feed, carriage return. */
@@ -87,22 +88,28 @@
   return 'answered';
 };
 
+/** Whether the route, its client's time and its client allow another worker. */
+const mayTryAnother = ({ plan, placement, response }: Request, left: Microseconds): boolean =>
+  placement.sends < plan.route.maxAttempts && left > 0 && !response.isClosed();
+/** Gives the request to another worker, which may run it although this one may have run it. */
+const tryAnother = (request: Request, worker: WorkerEntry): 'continue' => {
+  request.gateway.count('retried');
+  request.placement.excluded.add(worker.id);
+  request.placement.preferred = null;
+  request.phases.transition('again');
+  return 'continue';
+};
+
 /** What may be sent again is, to another worker; else its outcome is told as far as it is known (§5.4). */
 const lost = (request: Request, worker: WorkerEntry, outcome: Outcome & { how: 'lost' | 'cut' }): StepResult => {
-  const { gateway, plan, placement, relayed, response } = request;
+  const { gateway, plan, relayed } = request;
   requests.log(request, `${plan.attempt} was lost at ${worker.id}: ${outcome.why}.`);
-  placement.excluded.add(worker.id);
-  placement.preferred = null;
   if (relayed.last) relayed.lastId = events.fields(relayed.last).id ?? relayed.lastId;
   const repeats = outcome.how === 'lost' && plan.route.semantics === 'idempotent';
   const resumes = plan.route.semantics === 'stream' && plan.route.resumable;
-  const mayGoOn = placement.sends < plan.route.maxAttempts && requests.left(request) > 0 && !response.isClosed();
+  const mayGoOn = mayTryAnother(request, requests.left(request));
   request.phases.transition('lose');
-  if ((repeats || resumes) && mayGoOn) {
-    gateway.count('retried');
-    request.phases.transition('again');
-    return 'continue';
-  }
+  if ((repeats || resumes) && mayGoOn) return tryAnother(request, worker);
   gateway.count('lost');
   request.timeline.ended(relayed.headSent ? 'cut' : 'worker_lost');
   if (relayed.headSent) return cutOff(request);
@@ -138,8 +145,47 @@
 };
 
 const isBlank = (bytes: Uint8Array): boolean => bytes.every((byte) => blanks.has(byte));
+/** A worker's own failure; at its deadline a worker says 504, which says nothing of the worker. */
+const isServerFailure = (status: number): boolean => status >= 500 && status !== 504;
+/** Whether a worker has done what it was asked; null: the exchange does not tell. */
+const hasSucceeded = (request: Request, outcome: Outcome): boolean | null => {
+  switch (outcome.how) {
+    case 'streamed':
+      return isBlank(outcome.rest);
+    case 'answer':
+      return outcome.status === 504 ? null : !isServerFailure(outcome.status);
+    case 'lost':
+    case 'cut':
+      return requests.left(request) > 0 ? false : null;
+    case 'unsent':
+    case 'gone':
+      return null;
+  }
+};
+const outcomeNames = {
+  streamed: 'answered',
+  answer: 'answered',
+  lost: 'lost',
+  cut: 'cut',
+  unsent: 'not_run',
+  gone: 'abandoned',
+} as const;
+/** Tells the load balancer and the metrics what became of an exchange. */
+const report = ({ gateway }: Request, worker: WorkerEntry, outcome: Outcome, succeeded: boolean | null): void => {
+  if (succeeded !== null) gateway.admission.recordExchange(worker.id, succeeded);
+  const hasFailed = outcome.how === 'answer' && isServerFailure(outcome.status);
+  gateway.workerOutcome(worker.id, hasFailed ? 'failed' : outcomeNames[outcome.how]);
+};
+/** A failure of which nothing has reached the client, of a request that may run again: another worker may have it. */
+const mayReplace = (request: Request, status: number): boolean =>
+  isServerFailure(status) &&
+  isRepeatable(request.plan) &&
+  requests.left(request) > leastTimeToResend &&
+  mayTryAnother(request, requests.left(request));
+
 /** What becomes of the request after one exchange. */
 export const finish = async (request: Request, worker: WorkerEntry, outcome: Outcome): Promise<StepResult> => {
+  report(request, worker, outcome, hasSucceeded(request, outcome));
   switch (outcome.how) {
     case 'streamed':
       // A connection that is closed within an event was broken off, whatever its framing says.
@@ -148,6 +194,10 @@
     case 'answer':
       // The client has a part of a stream already: no other answer can follow it.
       if (request.relayed.headSent) return lost(request, worker, { how: 'cut', why: `status ${outcome.status}` });
+      if (mayReplace(request, outcome.status)) {
+        request.phases.transition('lose');
+        return tryAnother(request, worker);
+      }
       return endAnswer(request, worker, outcome);
     case 'gone':
       return clientLeft(request, worker);
--- a/packages/load-balancer/src/load-balancer.ts
+++ b/packages/load-balancer/src/load-balancer.ts
@@ -2,14 +2,24 @@
 import type { Microseconds } from '@thornsail/runtime';
 import { fairShare } from './class-shares.js';
 import { sumLoads } from './load-totals.js';
+import { outlierDetection, type OutlierDetector } from './outlier-detection.js';
 import { addRunning, changeWaiting, removeRunning } from './own-load.js';
 import { reportDelay } from './report-delay.js';
 import { selector } from './selection.js';
 import { slotDealer } from './slot-dealer.js';
-import { emptyState, occupancyOf, waitingOf, type BalancerState } from './state.js';
+import { emptyState, occupancyOf, serviceOfWorker, waitingOf, type BalancerState } from './state.js';
 import type { Load, LoadBalancer, WorkerEntry } from './types.js';
 
-const setWorkers = (state: BalancerState, workers: WorkerEntry[]): void => {
+const workersByService = (workers: WorkerEntry[]): Map<string, string[]> => {
+  const byService = new Map<string, string[]>();
+  for (const worker of workers) {
+    const service = serviceOfWorker(worker);
+    byService.set(service, [...(byService.get(service) ?? []), worker.id]);
+  }
+  return byService;
+};
+const setWorkers = (state: BalancerState, detector: OutlierDetector, workers: WorkerEntry[]): void => {
+  detector.setServices(workersByService(workers.filter(({ leaving }) => !leaving)));
   state.workers.clear();
   for (const worker of workers) state.workers.set(worker.id, worker);
   state.workerRanks = new Map([...state.workers.keys()].sort().map((id, i) => [id, i]));
@@ -36,14 +46,15 @@
   open: (options: { now: () => Microseconds; self?: string; rotation?: () => number }): LoadBalancer => {
     const { now, self = '', rotation = () => 0 } = options;
     const state = emptyState(self);
+    const detector = outlierDetection.open(now);
     const dealer = slotDealer.open({ self, now, reportDelay });
     return {
-      setWorkers: (workers) => setWorkers(state, workers),
+      setWorkers: (workers) => setWorkers(state, detector, workers),
       setConfig: (config) => {
         state.config = config;
       },
       setPeerLoads: (peers) => setPeerLoads(state, self, peers),
-      select: selector.open({ state, dealer, self, now, rotation }),
+      select: selector.open({ state, dealer, detector, self, now, rotation }),
       acquire: (worker, className) => {
         addRunning(state.own, worker, className);
         dealer.acquired(worker, className);
@@ -60,6 +71,10 @@
       fairShare: (className) => fairShare(state, className),
       waiting: (className) => waitingOf(state, className),
       runningAt: (worker) => occupancyOf(state, worker).running,
+      recordExchange: detector.record,
+      setPeerExchanges: detector.setPeerReports,
+      exchanges: detector.report,
+      ejected: () => [...state.workers.keys()].filter(detector.isEjected),
       markUnhealthy: (worker, until) => void state.unhealthyUntil.set(worker, until),
     };
   },
--- a/packages/load-balancer/src/selection.ts
+++ b/packages/load-balancer/src/selection.ts
@@ -2,14 +2,16 @@
 import type { Microseconds } from '@thornsail/runtime';
 import { freeSlots, mustGiveWay, mustLeaveReserve } from './class-shares.js';
 import { reportDelay } from './report-delay.js';
+import type { OutlierDetector } from './outlier-detection.js';
 import type { SlotDealer } from './slot-dealer.js';
-import { occupancyOf, serviceOfClass, serviceOfWorker, type BalancerState } from './state.js';
+import { occupancyOf, serviceOfClass, serviceOfWorker, type BalancerState, type Occupancy } from './state.js';
 import type { SelectionRequest, WorkerEntry } from './types.js';
 
 /** What a selection is made from. */
 type SelectionContext = {
   state: BalancerState;
   dealer: SlotDealer;
+  detector: OutlierDetector;
   self: string;
   now: () => Microseconds;
   /** Counts up in step at all gateways, fractions included: its whole part says whose slots come first. */
@@ -18,8 +20,20 @@
 /** Selects a worker; null if none may take the turn now. */
 export type Selector = (className: string, request: SelectionRequest) => WorkerEntry | null;
 
-const isAvailable = (context: SelectionContext, worker: WorkerEntry, excluded?: ReadonlySet<string>): boolean =>
-  !worker.leaving && !excluded?.has(worker.id) && (context.state.unhealthyUntil.get(worker.id) ?? 0) <= context.now();
+const isAvailable = (
+  { state, detector, now }: SelectionContext,
+  worker: WorkerEntry,
+  excluded?: ReadonlySet<string>,
+): boolean =>
+  !worker.leaving &&
+  !excluded?.has(worker.id) &&
+  (state.unhealthyUntil.get(worker.id) ?? 0) <= now() &&
+  !detector.isEjected(worker.id);
+/** A worker that was ejected gets its slots back little by little, beginning with one. */
+const hasSlowStartSlot = ({ detector }: SelectionContext, worker: WorkerEntry, { slots, running }: Occupancy): boolean => {
+  const share = detector.usableShare(worker.id);
+  return share >= 1 || running < Math.max(1, share * slots);
+};
 
 /** Part of a rotation after which what was acquired in the one before has been reported. */
 const settledAfter = 0.6;
@@ -72,6 +86,7 @@
       for (const worker of candidates()) {
         if (serviceOfWorker(worker) !== service || !isAvailable(context, worker, excluded)) continue;
         const occupancy = occupancyOf(state, worker.id);
+        if (!force && !hasSlowStartSlot(context, worker, occupancy)) continue;
         const free = freeSlots(state, occupancy, className, ownService);
         const isPreferred = worker.id === preferred && free >= 1;
         // Free slots are dealt among turns that may go anywhere: this one would cost a prefill of its whole context.
--- a/packages/load-balancer/src/types.ts
+++ b/packages/load-balancer/src/types.ts
@@ -1,6 +1,7 @@
 /** Workers as the service catalog lists them, the load that gateways report, and the balancer itself (§5.2). */
 import type { Config } from '@thornsail/config-schema';
 import type { Address, Microseconds } from '@thornsail/runtime';
+import type { ExchangeReport } from './outlier-detection.js';
 
 /** A model worker generates tokens; an application worker runs jobs. */
 export type WorkerKind = 'model' | 'app';
@@ -65,6 +66,14 @@
   waiting: (className: string) => number;
   /** Running turns at a worker, of this gateway and, as far as it has heard, of the others. */
   runningAt: (worker: string) => number;
+  /** Takes in what became of an exchange with a worker; one that fails more than the others do is passed by. */
+  recordExchange: (worker: string, succeeded: boolean) => void;
+  /** Replaces what the other gateways report of their exchanges. */
+  setPeerExchanges: (reports: ExchangeReport[]) => void;
+  /** This gateway's counts of the workers that have failed a request anywhere lately. */
+  exchanges: () => ExchangeReport;
+  /** Workers that are passed by now because they fail more than the others do. */
+  ejected: () => string[];
   /** A worker is not selected before `until`. */
   markUnhealthy: (worker: string, until: Microseconds) => void;
 };
--- a/packages/membership/src/update-validators.ts
+++ b/packages/membership/src/update-validators.ts
@@ -16,6 +16,9 @@
 });
 const isCounts = validate.recordOf(validate.integer);
 
+const isExchangeCounts = (counts: unknown): boolean =>
+  validate.arrayOf(validate.integer)(counts) && (counts as number[]).length === 2;
+
 /** What a gateway tells of its load (§4.4). */
 export const isLoad = validate.object({
   load: validate.object({ running: validate.recordOf(isCounts), waiting: isCounts }),
@@ -24,6 +27,7 @@
   smallest: validate.optional(validate.finiteNumber),
   took: validate.optional(validate.arrayOf(validate.string)),
   uses: validate.optional(validate.integer),
+  exchanges: validate.optional(validate.recordOf(isExchangeCounts)),
 });
 
 const validators = new Map<string, Validator>([
