--- a/packages/load-balancer/src/outlier-detection.ts
+++ b/packages/load-balancer/src/outlier-detection.ts
@@ -30,9 +30,15 @@
 /** Outcomes are counted for so long. */
 const window = duration.s(3);
 const bucketWidth = duration.ms(500);
-/** So many failures at least, and by so much more than the others' median rate, make an outlier. */
+/**
+ * So many failures at least make an outlier, with a rate that is by so much above the others' median, and with more
+ * failures than that median makes likely: by so many standard deviations of a binomial distribution.
+ */
 const leastFailures = 3;
-const excessRate = 0.15;
+const excessRate = 0.1;
+const deviations = 3;
+/** Any worker may fail that much, whatever the others do. */
+const leastExpectedRate = 0.02;
 /** With fewer failures than `leastFailures` a worker is an outlier only if so large a part of all has failed. */
 const fewFailures = 2;
 const fewFailuresRate = 0.5;
@@ -89,11 +95,14 @@
 
 const isOutlier = (state: DetectorState, worker: string, workers: readonly string[]): boolean => {
   const counts = pooledCounts(state, worker);
-  const [, failed] = counts;
+  const [succeeded, failed] = counts;
   const rate = rateOf(counts);
   if (failed < leastFailures && !(failed >= fewFailures && rate >= fewFailuresRate)) return false;
   const others = workers.filter((other) => other !== worker);
-  return rate >= medianRate(state, others) + excessRate;
+  const expectedRate = Math.max(leastExpectedRate, medianRate(state, others));
+  const total = succeeded + failed;
+  const deviation = Math.sqrt(total * expectedRate * (1 - expectedRate));
+  return rate >= expectedRate + excessRate && failed >= total * expectedRate + deviations * deviation;
 };
 
 const eject = ({ own, peers, ejections, now }: DetectorState, worker: string): void => {
--- a/packages/load-balancer/src/selection.ts
+++ b/packages/load-balancer/src/selection.ts
@@ -20,17 +20,16 @@
 /** Selects a worker; null if none may take the turn now. */
 export type Selector = (className: string, request: SelectionRequest) => WorkerEntry | null;
 
-const isAvailable = (
-  { state, detector, now }: SelectionContext,
-  worker: WorkerEntry,
-  excluded?: ReadonlySet<string>,
-): boolean =>
-  !worker.leaving &&
-  !excluded?.has(worker.id) &&
-  (state.unhealthyUntil.get(worker.id) ?? 0) <= now() &&
-  !detector.isEjected(worker.id);
+const isHealthy = ({ state, detector, now }: SelectionContext, { id }: WorkerEntry): boolean =>
+  (state.unhealthyUntil.get(id) ?? 0) <= now() && !detector.isEjected(id);
+const isAvailable = (context: SelectionContext, worker: WorkerEntry, excluded?: ReadonlySet<string>): boolean =>
+  !worker.leaving && !excluded?.has(worker.id) && isHealthy(context, worker);
 /** A worker that was ejected gets its slots back little by little, beginning with one. */
-const hasSlowStartSlot = ({ detector }: SelectionContext, worker: WorkerEntry, { slots, running }: Occupancy): boolean => {
+const hasSlowStartSlot = (
+  { detector }: SelectionContext,
+  worker: WorkerEntry,
+  { slots, running }: Occupancy,
+): boolean => {
   const share = detector.usableShare(worker.id);
   return share >= 1 || running < Math.max(1, share * slots);
 };
--- a/packages/rpc/test/damage.test.ts
+++ b/packages/rpc/test/damage.test.ts
@@ -31,7 +31,10 @@
     s.resume();
   });
 const open = async (logs: string[]): Promise<{ a: Rpc; b: Rpc; close: () => Promise<void> }> => {
-  const runtime: Runtime = { ...real.runtime('/nonexistent'), log: () => (t) => void logs.push(typeof t === 'string' ? t : t()) };
+  const runtime: Runtime = {
+    ...real.runtime('/nonexistent'),
+    log: () => (t) => void logs.push(typeof t === 'string' ? t : t()),
+  };
   const a = await rpc.open(runtime, `${host}:0`);
   const b = await rpc.open(real.runtime('/nonexistent'), `${host}:0`);
   a.on<{ n: number }>(
