--- a/packages/load-balancer/src/outlier-detection.ts
+++ b/packages/load-balancer/src/outlier-detection.ts
@@ -2,7 +2,8 @@
  * Finds workers that fail more of their requests than the others of their service do, while they claim to be well
  * (§5.2). One gateway of many sends a worker a request now and then, so the evidence is pooled: each gateway reports
  * what became of its own exchanges with workers under suspicion. A worker that stands out is ejected: passed by for a
- * time that doubles, never more than a part of a service at once, and given work again little by little.
+ * time that doubles, never more than a part of a service at once. Then it is given work again little by little: one
+ * request, and more as none fails.
  */
 import { duration, type Microseconds } from '@thornsail/runtime';
 
@@ -42,11 +43,14 @@
 /** With fewer failures than `leastFailures` a worker is an outlier only if so large a part of all has failed. */
 const fewFailures = 2;
 const fewFailuresRate = 0.5;
-/** The first ejection lasts as long as outcomes are counted, so that none of them counts twice. */
-const firstEjection = window;
-const longestEjection = duration.s(24);
+/**
+ * Short, since a worker that is well again is missed while many come; each failure right after it doubles it. What the
+ * trials cost is one request at a time.
+ */
+const firstEjection = duration.s(1);
+const longestEjection = duration.s(8);
 /** A worker that has worked well for so long starts again at the first ejection time. */
-const forgivenAfter = duration.s(30);
+const forgivenAfter = duration.s(10);
 /** A worker is given its slots again over this time. */
 const slowStart = duration.s(2);
 /** Of a service's workers at most this part is ejected at once; one where it has two or more. */
@@ -93,6 +97,11 @@
   return workers.filter((worker) => isEjected(state, worker)).length < most;
 };
 
+const usableShare = ({ ejections, now }: DetectorState, worker: string): number => {
+  const ejection = ejections.get(worker);
+  return ejection ? Math.min(1, Math.max(0, (now() - ejection.until) / slowStart)) : 1;
+};
+
 const isOutlier = (state: DetectorState, worker: string, workers: readonly string[]): boolean => {
   const counts = pooledCounts(state, worker);
   const [succeeded, failed] = counts;
@@ -105,19 +114,20 @@
   return rate >= expectedRate + excessRate && failed >= total * expectedRate + deviations * deviation;
 };
 
-const eject = ({ own, peers, ejections, now }: DetectorState, worker: string): void => {
+const eject = ({ own, ejections, now }: DetectorState, worker: string): void => {
   const last = ejections.get(worker);
   const isForgiven = !last || now() - last.until > forgivenAfter;
   const length = isForgiven ? firstEjection : Math.min(longestEjection, 2 * last.length);
   ejections.set(worker, { until: now() + length, length });
   own.delete(worker);
-  peers.delete(worker);
 };
 
+/** To be called when a worker has failed a request. While its slots come back, that is enough to eject it again. */
 const judge = (state: DetectorState, worker: string): void => {
   if (isEjected(state, worker)) return;
   const service = [...state.services.values()].find((workers) => workers.includes(worker));
-  if (service && mayEject(state, service) && isOutlier(state, worker, service)) eject(state, worker);
+  if (!service || !mayEject(state, service)) return;
+  if (usableShare(state, worker) < 1 || isOutlier(state, worker, service)) eject(state, worker);
 };
 
 const record = (state: DetectorState, worker: string, succeeded: boolean): void => {
@@ -132,14 +142,14 @@
 };
 
 const setPeerReports = (state: DetectorState, reports: ExchangeReport[]): void => {
-  state.peers.clear();
+  const former = state.peers;
+  state.peers = new Map();
   for (const report of reports)
     for (const [worker, [succeeded, failed]] of Object.entries(report)) {
-      if (isEjected(state, worker)) continue;
       const before = state.peers.get(worker) ?? [0, 0];
       state.peers.set(worker, [before[0] + succeeded, before[1] + failed]);
     }
-  for (const [worker, [, failed]] of state.peers) if (failed > 0) judge(state, worker);
+  for (const [worker, [, failed]] of state.peers) if (failed > (former.get(worker)?.[1] ?? 0)) judge(state, worker);
 };
 
 /** Opens detectors of outliers. */
@@ -157,10 +167,7 @@
             .filter(([worker, [, failed]]) => failed > 0 || (state.peers.get(worker)?.[1] ?? 0) > 0),
         ),
       isEjected: (worker) => isEjected(state, worker),
-      usableShare: (worker) => {
-        const ejection = state.ejections.get(worker);
-        return ejection ? Math.min(1, Math.max(0, (now() - ejection.until) / slowStart)) : 1;
-      },
+      usableShare: (worker) => usableShare(state, worker),
       setServices: (workersByService) => {
         state.services = workersByService;
         const known = new Set([...workersByService.values()].flat());
--- a/packages/load-balancer/src/selection.ts
+++ b/packages/load-balancer/src/selection.ts
@@ -24,14 +24,16 @@
   (state.unhealthyUntil.get(id) ?? 0) <= now() && !detector.isEjected(id);
 const isAvailable = (context: SelectionContext, worker: WorkerEntry, excluded?: ReadonlySet<string>): boolean =>
   !worker.leaving && !excluded?.has(worker.id) && isHealthy(context, worker);
-/** A worker that was ejected gets its slots back little by little, beginning with one. */
-const hasSlowStartSlot = (
-  { detector }: SelectionContext,
-  worker: WorkerEntry,
-  { slots, running }: Occupancy,
-): boolean => {
-  const share = detector.usableShare(worker.id);
-  return share >= 1 || running < Math.max(1, share * slots);
+/**
+ * A worker that was ejected gets its slots back little by little, beginning with one, at the gateway whose turn it is.
+ */
+const hasSlowStartSlot = (context: SelectionContext, { id }: WorkerEntry, { slots, running }: Occupancy): boolean => {
+  const { state, detector, dealer, rotation } = context;
+  const share = detector.usableShare(id);
+  if (share >= 1) return true;
+  const usable = Math.max(1, Math.floor(share * slots));
+  const offset = (state.workerRanks.get(id) ?? 0) + Math.floor(rotation());
+  return running < usable && dealer.recentlyAcquired(id) < dealer.partOf(usable, state.gateways.all, offset);
 };
 
 /** Part of a rotation after which what was acquired in the one before has been reported. */
