--- a/packages/data-plane/src/cluster-view.ts
+++ b/packages/data-plane/src/cluster-view.ts
@@ -3,7 +3,7 @@
  * with the others and with a majority of stores.
  */
 import type { Config } from '@thornsail/config-schema';
-import type { Membership } from '@thornsail/membership';
+import type { GatewayMembership } from './gateway-membership.js';
 import type { Registers } from '@thornsail/register-store';
 import { duration, invariant, type Microseconds, type Runtime } from '@thornsail/runtime';
 import type { Admission } from './admission.js';
@@ -39,17 +39,17 @@
 
 type Options = {
   runtime: Runtime;
-  membership: Membership;
+  membership: GatewayMembership;
   registers: Registers;
   admission: Admission;
   connections: Connections;
   reports: LoadReport;
   count: (counter: string) => void;
 };
-type MembershipState = NonNullable<ReturnType<Membership['state']>>;
+type MembershipState = NonNullable<ReturnType<GatewayMembership['state']>>;
 const liveGateways = ({ nodes }: MembershipState): { id: string }[] =>
   Object.values(nodes).filter((node) => node.role === 'gateway' && node.status === 'live');
-const isInContact = (now: Microseconds, membership: Membership, reports: LoadReport): boolean => {
+const isInContact = (now: Microseconds, membership: GatewayMembership, reports: LoadReport): boolean => {
   const state = membership.state();
   if (!state || now - (membership.dissemination.get('core')?.at ?? -contactTimeout) < contactTimeout) return true;
   const gateways = liveGateways(state);
--- a/packages/data-plane/src/data-plane.ts
+++ b/packages/data-plane/src/data-plane.ts
@@ -1,6 +1,6 @@
 /** The data plane that a gateway embeds (§5): its parts put together, its timers, its readiness and its counters. */
 import type { Config } from '@thornsail/config-schema';
-import type { Membership } from '@thornsail/membership';
+import type { GatewayMembership } from './gateway-membership.js';
 import { registers as registerStore, type Registers } from '@thornsail/register-store';
 import { validate, type Rpc } from '@thornsail/rpc';
 import { duration, time, type Cancel, type HttpHandler, type Runtime } from '@thornsail/runtime';
@@ -25,7 +25,7 @@
 export type DataPlaneOptions = {
   runtime: Runtime;
   rpc: Rpc;
-  membership: Membership;
+  membership: GatewayMembership;
   /** Leaves the scheduler out, to measure against. */
   plain?: boolean;
   zone?: string;
@@ -133,7 +133,7 @@
   const { runtime, rpc, membership } = options;
   const { id } = membership;
   const limits = (): Config['limits'] => view.config()!.limits;
-  const deadFor: Membership['deadFor'] = (node) => membership.deadFor(node);
+  const deadFor: GatewayMembership['deadFor'] = (node) => membership.deadFor(node);
   return {
     runtime,
     id,
--- a/packages/data-plane/src/gateway.ts
+++ b/packages/data-plane/src/gateway.ts
@@ -1,6 +1,6 @@
 /** What all requests share at one gateway. */
 import type { Config } from '@thornsail/config-schema';
-import type { Membership } from '@thornsail/membership';
+import type { GatewayMembership } from './gateway-membership.js';
 import type { Address, Runtime } from '@thornsail/runtime';
 import type { Admission } from './admission.js';
 import type { BudgetAccounts } from './records/budget-accounts.js';
@@ -14,7 +14,7 @@
 export type Gateway = {
   runtime: Runtime;
   id: string;
-  membership: Membership;
+  membership: GatewayMembership;
   admission: Admission;
   keys: IdempotencyKeys;
   budgets: BudgetAccounts;
--- a/packages/data-plane/src/index.ts
+++ b/packages/data-plane/src/index.ts
@@ -5,4 +5,5 @@
 export type { Drain } from './lifecycle.js';
 export { loadPaths, type EdgePeer, type LoadPaths } from './load-paths.js';
 export { plan, type Plan } from './plan.js';
+export { warmUp, type WarmUpOptions, type WarmUpResult } from './warm-up/warm-up.js';
 export { workersOf, type WorkersNews } from './workers.js';
--- a/packages/data-plane/src/load-publisher.ts
+++ b/packages/data-plane/src/load-publisher.ts
@@ -3,7 +3,7 @@
  * gateways seldom see the same slot free; in the news (§3.5) as well, seldom, for operators and for a gateway that the
  * exchange does not reach. Which configuration is in use goes into the news by itself.
  */
-import type { Membership } from '@thornsail/membership';
+import type { GatewayMembership } from './gateway-membership.js';
 import { duration, type Clock, type Microseconds } from '@thornsail/runtime';
 import type { Admission, EdgeLoad } from './admission.js';
 import type { LoadExchange } from './load-exchange.js';
@@ -29,7 +29,7 @@
 /** What a publisher needs of its gateway. */
 type PublisherOptions = {
   clock: Clock;
-  dissemination: Membership['dissemination'];
+  dissemination: GatewayMembership['dissemination'];
   exchange: LoadExchange;
   self: string;
   admission: () => Admission;
--- a/packages/data-plane/src/load-report.ts
+++ b/packages/data-plane/src/load-report.ts
@@ -2,7 +2,7 @@
  * The load reports between gateways (§4.4, §5.2): when this one publishes its load, and when it takes in what the
  * others have published, by the load exchange or by the news (§3.5).
  */
-import type { Membership } from '@thornsail/membership';
+import type { GatewayMembership } from './gateway-membership.js';
 import type { Rpc } from '@thornsail/rpc';
 import { duration, type Clock, type Microseconds } from '@thornsail/runtime';
 import type { Admission, EdgeLoad } from './admission.js';
@@ -30,7 +30,7 @@
 export type LoadReportOptions = {
   clock: Clock;
   rpc: Rpc;
-  membership: Membership;
+  membership: GatewayMembership;
   self: string;
   admission: () => Admission;
   /** The mark of the configuration in use. */
@@ -55,7 +55,7 @@
 const hasWaitingTurns = ({ load }: EdgeLoad): boolean => Object.keys(load.waiting).length > 0;
 
 type Peers = {
-  dissemination: Membership['dissemination'];
+  dissemination: GatewayMembership['dissemination'];
   received: LoadExchange['received'];
   liveIds: () => Set<string>;
   self: string;
--- a/programs/thornsail/src/bin.ts
+++ b/programs/thornsail/src/bin.ts
@@ -10,6 +10,7 @@
 import { currentCommandLine } from './deprecated-names.js';
 import { operator } from './operator.js';
 import { roles, type Node } from './roles.js';
+import { warmUpGateway } from './warm-up.js';
 
 const plain = (text: string): string => (process.stdout.isTTY ? text : stripVTControlCharacters(text));
 const out = (text: string): void => void process.stdout.write(`${plain(text)}\n`);
@@ -91,6 +92,7 @@
   const runtime = real.runtime(options.data ?? '/nonexistent');
   const node = await (roles[role] as (l: Runtime, o: never) => Promise<Node>)(runtime, options as never);
   out(`${role} listens at http ${node.http}, siblings ${node.place}`);
+  if (role === 'gateway') void warmUpGateway(runtime, node);
   node.onFailed((why) => {
     err(why);
     process.exit(1);
