--- a/packages/load-balancer/src/selection.ts
+++ b/packages/load-balancer/src/selection.ts
@@ -82,6 +82,8 @@
       const service = request.service ?? ownService;
       if (!force && mustGiveWay(state, className, ownService)) return null;
       const leavesReserve = mustLeaveReserve(state, className, ownService);
+      // A short wait in a worker's own queue costs less than a prefill of the whole context elsewhere.
+      const queued = state.config?.limits.leastPart ?? 0;
       let best: WorkerEntry | null = null;
       let leastUsed = Infinity;
       for (const worker of candidates()) {
@@ -91,7 +93,7 @@
         const free = freeSlots(state, occupancy, className, ownService);
         const isPreferred = worker.id === preferred && free >= 1;
         // Free slots are dealt among turns that may go anywhere: this one would cost a prefill of its whole context.
-        if (isPreferred && preferredHasContext) return worker;
+        if (worker.id === preferred && preferredHasContext && free + queued >= 1) return worker;
         if (!force && (free < 1 || !hasDealtSlot(context, worker, free, waitedFor, leavesReserve))) continue;
         if (isPreferred) return worker;
         const used = occupancy.running / occupancy.slots;
--- a/packages/load-balancer/test/selection.test.ts
+++ b/packages/load-balancer/test/selection.test.ts
@@ -30,6 +30,18 @@
     assert.is.not(balancer.select('chat', { preferred: 'b' })?.id, 'b');
   }
 });
+test('where workers have a queue, a turn waits there for its context rather than have it read again elsewhere', () => {
+  const classes = { chat: { kind: 'model', weight: 1 } };
+  const config = configOf({ classes, slots: { model: 8, app: 1 }, limits: { leastPart: 2 } });
+  const balancer = openOneOf(['e1'], 'e1', { config, workers: workersOf(['a', 'b']) });
+  const next = (): string | undefined => balancer.select('chat', { preferred: 'a', preferredHasContext: true })?.id;
+  for (let i = 0; i < 10; i++) {
+    assert.is(next(), 'a', `turn ${i}`);
+    balancer.acquire('a', 'chat');
+  }
+  assert.is(next(), 'b', 'a queue is short: two at most');
+  assert.is(balancer.select('chat', { preferred: 'a' })?.id, 'b', 'one without a context there does not wait');
+});
 test('an unhealthy worker is not selected until its time is over, nor is one that is excluded', () => {
   const clock = { now: 0 };
   const config = configOf({ classes: { chat: { kind: 'model', weight: 1 } }, slots: { model: 8, app: 1 } });
