--- a/packages/data-plane/src/index.ts
+++ b/packages/data-plane/src/index.ts
@@ -5,5 +5,6 @@
 export type { Drain } from './lifecycle.js';
 export { loadPaths, type EdgePeer, type LoadPaths } from './load-paths.js';
 export { plan, type Plan } from './plan.js';
+export { stages, type Stage } from './request-timeline.js';
 export { warmUp, type WarmUpOptions, type WarmUpResult } from './warm-up/warm-up.js';
 export { workersOf, type WorkersNews } from './workers.js';
--- a/packages/data-plane/src/warm-up/cluster.ts
+++ b/packages/data-plane/src/warm-up/cluster.ts
@@ -1,4 +1,4 @@
-/** The cluster that a warm-up plays in: one gateway, stores in memory, one worker, and a membership that never changes. */
+/** The cluster that a warm-up plays in: a gateway, stores in memory, a worker, and a membership that never changes. */
 import { configSchema, type Config } from '@thornsail/config-schema';
 import { agreedState, type AgreedState } from '@thornsail/consensus';
 import type { Dissemination } from '@thornsail/dissemination';
--- a/packages/data-plane/test/warm-up.test.ts
+++ b/packages/data-plane/test/warm-up.test.ts
@@ -3,7 +3,7 @@
 import { warmUp } from '@thornsail/data-plane';
 import { duration, invariant, real } from '@thornsail/runtime';
 
-test('a warm-up serves all its requests, and leaves nothing behind that keeps the process or breaks a rule', async () => {
+test('a warm-up serves all its requests, breaks no rule and keeps no process alive', async () => {
   const result = await warmUp.run({
     runtime: real.runtime('/nonexistent'),
     programs: 3,
