--- a/packages/data-plane/src/chat.ts
+++ b/packages/data-plane/src/chat.ts
@@ -162,8 +162,12 @@
       ...(plan.key === null ? {} : { 'idempotency-key': plan.key }),
     },
   });
-  if (reply.type === 'failed') return { outcome: reply.unsent ? 'unsent' : 'empty', took: null };
+  if (reply.type === 'failed') {
+    if (!reply.unsent) gateway.exchangeEnded(to.id, 'lost');
+    return { outcome: reply.unsent ? 'unsent' : 'empty', took: null };
+  }
   if (reply.response.status !== 200) {
+    if (reply.response.status >= 500) gateway.exchangeEnded(to.id, 'failed');
     reply.response.abort();
     return { outcome: 'empty', took: null };
   }
--- a/packages/data-plane/src/cluster-view.ts
+++ b/packages/data-plane/src/cluster-view.ts
@@ -9,6 +9,7 @@
 import type { Admission } from './admission.js';
 import type { Connections } from './forward/connections.js';
 import type { LoadReport } from './load-report.js';
+import type { RequestMetrics } from './request-metrics.js';
 import { workersOf } from './workers.js';
 
 /** Operations on what is known. Those that take something over pass it on to admission and to the connections. */
@@ -44,6 +45,7 @@
   admission: Admission;
   connections: Connections;
   reports: LoadReport;
+  metrics: RequestMetrics;
   count: (counter: string) => void;
 };
 type MembershipState = NonNullable<ReturnType<GatewayMembership['state']>>;
@@ -79,7 +81,9 @@
   const takeWorkers = (): void => {
     const list = workersOf(membership.dissemination, clock.now());
     admission.setWorkers(list);
-    options.connections.retain(new Set(list.map((worker) => worker.id)));
+    const ids = new Set(list.map((worker) => worker.id));
+    options.connections.retain(ids);
+    options.metrics.retainWorkers(ids);
   };
   const inContact = (): boolean => isInContact(clock.now(), membership, reports);
   return {
--- a/packages/data-plane/src/data-plane.ts
+++ b/packages/data-plane/src/data-plane.ts
@@ -148,6 +148,10 @@
     log: runtime.log('data-plane'),
     requestEnded: metrics.observe,
     workerOutcome: metrics.workerOutcome,
+    exchangeEnded: (worker, outcome) => {
+      admission.recordExchange(worker, outcome === 'answered');
+      metrics.workerOutcome(worker, outcome);
+    },
     inFlight,
     takeRetry: retries.take,
     refreshIfStale: view.refreshIfStale,
@@ -209,10 +213,10 @@
   });
   const registers = openRegisters(options);
   const connections: Connections = connectionPools.open({ clock, net: runtime.net });
-  const view = clusterView.open({ runtime, membership, registers, admission, connections, reports, count });
+  const metrics = requestMetrics.open(runtime.log('requests'));
+  const view = clusterView.open({ runtime, membership, registers, admission, connections, reports, metrics, count });
   rpc.on<{ turn: string }>('turn.open', validate.object({ turn: validate.string }), ({ turn }) => inFlight.has(turn));
   const stops = follow(options, view, reports, retries);
-  const metrics = requestMetrics.open(runtime.log('requests'));
   const gateway = openGateway({ options, view, admission, registers, reports, retries, inFlight, count, metrics });
   const lifecycle = lifecycles.open(runtime, inFlight);
   const turns = storedTurns.open({ clock, registers });
--- a/packages/data-plane/src/gateway.ts
+++ b/packages/data-plane/src/gateway.ts
@@ -28,6 +28,8 @@
   /** Is told of each request that has ended, and of each exchange with a worker. */
   requestEnded: TimelineObserver;
   workerOutcome: (worker: string, outcome: WorkerOutcome) => void;
+  /** Tells the load balancer and the metrics of an exchange that the worker has ended well, or has failed. */
+  exchangeEnded: (worker: string, outcome: 'answered' | 'failed' | 'lost' | 'cut') => void;
   /** Requests of this gateway whose records are not closed, by id. */
   inFlight: Set<string>;
   /** Takes one from the retry budget, if there is one left (§5.4). */
--- a/packages/data-plane/src/job.ts
+++ b/packages/data-plane/src/job.ts
@@ -126,7 +126,10 @@
 const failed = (job: JobRequest, workerId: string, unsent: boolean, round: number): StepResult => {
   job.gateway.admission.markUnhealthy(workerId);
   job.excluded.add(workerId);
-  if (!unsent) return lost(job, 'the worker was lost before its result', round === 0);
+  if (!unsent) {
+    job.gateway.exchangeEnded(workerId, 'lost');
+    return lost(job, 'the worker was lost before its result', round === 0);
+  }
   job.phases.transition('unsent');
   const mayGoOn = round < lastUnsentRound && remaining(job) > 0;
   return mayGoOn ? 'continue' : reject(job, 'no_worker', 'no worker could be reached', 1);
@@ -160,9 +163,11 @@
       body = await readResult(reply.response);
     } catch (error) {
       gateway.log(`a job's result broke off: ${fault.text(error)}.`);
+      gateway.exchangeEnded(checked.id, 'cut');
       return lost(job, 'the result broke off', false);
     }
     took = gateway.runtime.clock.now() - sentAt;
+    gateway.exchangeEnded(checked.id, reply.response.status >= 500 ? 'failed' : 'answered');
     await answer(job, reply.response, body);
     return 'answered';
   } finally {
--- a/packages/data-plane/src/relay.ts
+++ b/packages/data-plane/src/relay.ts
@@ -165,7 +165,10 @@
       for (const piece of split(text)) {
         if (piece.type === 'error')
           throw internalErrors.create('worker-fault', { step: 'relay', peer: workerId, message: piece.text });
-        if (piece.type === 'done') return await complete(turn, progress, workerId, stream);
+        if (piece.type === 'done') {
+          gateway.exchangeEnded(workerId, 'answered');
+          return await complete(turn, progress, workerId, stream);
+        }
         if (phases.current() === 'sent') {
           phases.transition('relay');
           turn.timeline.enter('stream');
@@ -178,6 +181,7 @@
     throw internalErrors.create('stream-incomplete', { step: 'relay', peer: workerId });
   } catch (error) {
     gateway.log(`a turn was lost: ${fault.text(error)}.`);
+    gateway.exchangeEnded(workerId, phases.current() === 'sent' ? 'lost' : 'cut');
     stream.abort();
     const { headSent, written, outputEvents } = progress;
     const nothingRelayed = !headSent && !plan.stream && written === 0 && outputEvents === 0;
--- a/packages/data-plane/src/request-metrics.ts
+++ b/packages/data-plane/src/request-metrics.ts
@@ -7,11 +7,15 @@
 import { stages, type TimelineObserver, type TimelineSummary } from './request-timeline.js';
 
 /** What became of one exchange with a worker. */
-export type WorkerOutcome = 'answered' | 'failed' | 'lost' | 'cut' | 'not_run' | 'abandoned';
+const workerOutcomes = ['answered', 'failed', 'lost', 'cut', 'not_run', 'abandoned'] as const;
+/** One of them. */
+export type WorkerOutcome = (typeof workerOutcomes)[number];
 /** The metrics of one gateway. */
 export type RequestMetrics = {
   observe: TimelineObserver;
   workerOutcome: (worker: string, outcome: WorkerOutcome) => void;
+  /** Forgets the outcomes of all workers but these. */
+  retainWorkers: (workers: ReadonlySet<string>) => void;
   /** The metrics as text. */
   text: () => Promise<string>;
 };
@@ -62,6 +66,8 @@
       labelNames: ['worker', 'outcome'] as const,
       registers,
     });
+    /** Workers that have a counter. */
+    const counted = new Set<string>();
     return {
       observe: (summary) => {
         const { className, byStage, outcome } = summary;
@@ -69,7 +75,17 @@
         requests.inc({ class: className, outcome });
         log(() => lineOf(summary));
       },
-      workerOutcome: (worker, outcome) => exchanges.inc({ worker, outcome }),
+      workerOutcome: (worker, outcome) => {
+        counted.add(worker);
+        exchanges.inc({ worker, outcome });
+      },
+      retainWorkers: (workers) => {
+        for (const worker of [...counted]) {
+          if (workers.has(worker)) continue;
+          counted.delete(worker);
+          for (const outcome of workerOutcomes) exchanges.remove({ worker, outcome });
+        }
+      },
       text: () => registry.metrics(),
     };
   },
--- a/packages/data-plane/test/request-timeline.test.ts
+++ b/packages/data-plane/test/request-timeline.test.ts
@@ -65,6 +65,11 @@
   assert.match(text, 'thornsail_request_stage_seconds_sum{class="chat",stage="charge"} 0.01234');
   assert.match(text, 'thornsail_request_outcomes_total{class="chat",outcome="busy"} 1');
   assert.match(text, 'thornsail_worker_outcomes_total{worker="w1",outcome="failed"} 1');
+  metrics.workerOutcome('w2', 'answered');
+  metrics.retainWorkers(new Set(['w2']));
+  const later = await metrics.text();
+  assert.not.match(later, 'worker="w1"', 'a worker that is gone leaves nothing behind');
+  assert.match(later, 'thornsail_worker_outcomes_total{worker="w2",outcome="answered"} 1');
   assert.equal(lines, [
     'class=chat program=p/1 outcome=busy total=12.3 charge=12.3 workers=- at_context=- prompt=0 output=0',
   ]);
