Ejected workers are used where no other one is left

Read again: with two workers, one ejected and the other one excluded after its failure, a request waited for a slot and was rejected although a worker was there. Test seen failing: selection.test, the last worker was null.

--- a/packages/load-balancer/src/selection.ts
+++ b/packages/load-balancer/src/selection.ts
@@ -20,17 +20,20 @@
 /** Selects a worker; null if none may take the turn now. */
 export type Selector = (className: string, request: SelectionRequest) => WorkerEntry | null;
 
-const isHealthy = ({ state, detector, now }: SelectionContext, { id }: WorkerEntry): boolean =>
-  (state.unhealthyUntil.get(id) ?? 0) <= now() && !detector.isEjected(id);
 const isAvailable = (context: SelectionContext, worker: WorkerEntry, excluded?: ReadonlySet<string>): boolean =>
-  !worker.leaving && !excluded?.has(worker.id) && isHealthy(context, worker);
+  !worker.leaving && !excluded?.has(worker.id) && (context.state.unhealthyUntil.get(worker.id) ?? 0) <= context.now();
+/** The workers that a turn may go to; those that were ejected only where no other one is left. */
+const withoutEjected = ({ detector }: SelectionContext, available: WorkerEntry[]): WorkerEntry[] => {
+  const others = available.filter(({ id }) => !detector.isEjected(id));
+  return others.length > 0 ? others : available;
+};
 /**
  * A worker that was ejected gets its slots back little by little, beginning with one, at the gateway whose turn it is.
  */
 const hasSlowStartSlot = (context: SelectionContext, { id }: WorkerEntry, { slots, running }: Occupancy): boolean => {
   const { state, detector, dealer, rotation } = context;
   const share = detector.usableShare(id);
-  if (share >= 1) return true;
+  if (share >= 1 || detector.isEjected(id)) return true;
   const usable = Math.max(1, Math.floor(share * slots));
   const offset = (state.workerRanks.get(id) ?? 0) + Math.floor(rotation());
   return running < usable && dealer.recentlyAcquired(id) < dealer.partOf(usable, state.gateways.all, offset);
@@ -86,8 +89,10 @@
       const queued = state.config?.limits.leastPart ?? 0;
       let best: WorkerEntry | null = null;
       let leastUsed = Infinity;
-      for (const worker of candidates()) {
-        if (serviceOfWorker(worker) !== service || !isAvailable(context, worker, excluded)) continue;
+      const available = candidates().filter(
+        (worker) => serviceOfWorker(worker) === service && isAvailable(context, worker, excluded),
+      );
+      for (const worker of withoutEjected(context, available)) {
         const occupancy = occupancyOf(state, worker.id);
         if (!force && !hasSlowStartSlot(context, worker, occupancy)) continue;
         const free = freeSlots(state, occupancy, className, ownService);
--- a/packages/load-balancer/test/selection.test.ts
+++ b/packages/load-balancer/test/selection.test.ts
@@ -42,6 +42,15 @@
   assert.is(next(), 'b', 'a queue is short: two at most');
   assert.is(balancer.select('chat', { preferred: 'a' })?.id, 'b', 'one without a context there does not wait');
 });
+test('a worker that fails more than the others do is not selected while another one is left', () => {
+  const config = configOf({ classes: { chat: { kind: 'model', weight: 1 } }, slots: { model: 8, app: 1 } });
+  const balancer = openOneOf(['e1'], 'e1', { config, workers: workersOf(['a', 'b']) });
+  for (let i = 0; i < 3; i++) balancer.recordExchange('a', false);
+  assert.equal(balancer.ejected(), ['a']);
+  for (let i = 0; i < 4; i++)
+    assert.is(balancer.select('chat', { preferred: 'a', preferredHasContext: true })!.id, 'b');
+  assert.is(balancer.select('chat', { excluded: new Set(['b']) })!.id, 'a', 'it is better than none');
+});
 test('an unhealthy worker is not selected until its time is over, nor is one that is excluded', () => {
   const clock = { now: 0 };
   const config = configOf({ classes: { chat: { kind: 'model', weight: 1 } }, slots: { model: 8, app: 1 } });
--- a/tools/simulation/src/guards/load-balancer.ts
+++ b/tools/simulation/src/guards/load-balancer.ts
@@ -30,8 +30,8 @@
     name: 'a worker that fails more than the others do is passed by',
     rule: 'workers',
     file: 'load-balancer/src/selection.js',
-    find: '!detector.isEjected(id)',
-    replacement: 'true',
+    find: 'available.filter(({ id }) => !detector.isEjected(id))',
+    replacement: 'available',
     noticedBy: { test: '../platform/test/failing-worker.test.js' },
   }),
   guard({
