--- a/packages/consensus/test/repair-model.test.ts
+++ b/packages/consensus/test/repair-model.test.ts
@@ -20,7 +20,7 @@
   lost: 'no' | 'down' | 'back';
 };
 type World = { all: Identity[]; settled: boolean; written: boolean; losses: number; retired: boolean };
-type Kind = 'keepers' | 'coordinators';
+type Kind = 'stores' | 'coordinators';
 type Case = { kind: Kind; size: number; tolerates: number; spares: number; losses: number };
 
 const majority = (n: number): number => Math.floor(n / 2) + 1;
@@ -138,7 +138,7 @@
   const asked = w.all.flatMap((x, i) => {
     const staying = w.all.filter((y) => y !== x && y.state === 'up' && !y.draining).length;
     const may = !w.retired && x.state === 'up' && x.member && staying >= 2 * c.tolerates + 1;
-    return may && c.kind === 'keepers' ? [{ ...changed(w, i, { draining: true }), retired: true }] : [];
+    return may && c.kind === 'stores' ? [{ ...changed(w, i, { draining: true }), retired: true }] : [];
   });
   // Told to be complete: its disk may go, and nobody counts that as a loss.
   const whole = w.settled && stepsOf(c, w).length === 0;
@@ -235,9 +235,9 @@
 };
 
 const cases: Case[] = [
-  { kind: 'keepers', size: 3, tolerates: 1, spares: 0, losses: 4 },
-  { kind: 'keepers', size: 3, tolerates: 1, spares: 1, losses: 4 },
-  { kind: 'keepers', size: 5, tolerates: 2, spares: 1, losses: 3 },
+  { kind: 'stores', size: 3, tolerates: 1, spares: 0, losses: 4 },
+  { kind: 'stores', size: 3, tolerates: 1, spares: 1, losses: 4 },
+  { kind: 'stores', size: 5, tolerates: 2, spares: 1, losses: 3 },
   { kind: 'coordinators', size: 3, tolerates: 1, spares: 1, losses: 4 },
   { kind: 'coordinators', size: 5, tolerates: 1, spares: 0, losses: 4 },
   { kind: 'coordinators', size: 5, tolerates: 2, spares: 1, losses: 4 },
--- a/tools/simulation/src/scenarios/closing.ts
+++ b/tools/simulation/src/scenarios/closing.ts
@@ -1,72 +1,51 @@
 // Scenario `closing` (§9.4).
 import { type Microseconds, duration } from '@thornsail/runtime';
-import { fleet } from '../fleet/index.js';
+import { fleet, type Fleet } from '../fleet/index.js';
 import { type Scenario, finish, stores, run, serving, settleLoad, coordinators } from '../scene.js';
 
+/** One fault; `strike` gives what heals it, if it does not pass by itself. */
+type ClosingFault = { name: string; strike: () => (() => void) | void; lasts: Microseconds };
+
+const killedAndStarted = (deployment: Fleet, names: readonly string[], how?: 'power'): (() => void) => {
+  for (const name of names) deployment.kill(name, how);
+  return () => names.forEach((name) => deployment.start(name));
+};
+
+/** The faults in their order; the loss of a zone stays until the zone is back. */
+const faultsOf = (deployment: Fleet): ClosingFault[] => {
+  const all = deployment.processes.map(({ name }) => name);
+  const others = deployment.processes.filter(({ role }) => role !== 'coordinator').map(({ name }) => name);
+  const zone = deployment.processes.filter(({ host }) => host.zone === 'z2').map(({ name }) => name);
+  return [
+    { name: 'coordinators_restarted', strike: () => killedAndStarted(deployment, coordinators), lasts: duration.s(1) },
+    { name: 'stores_power_cycled', strike: () => killedAndStarted(deployment, stores, 'power'), lasts: duration.s(1) },
+    {
+      name: 'core_cut_in_two',
+      strike: () => deployment.partition(['coordinator1'], ['coordinator2', 'coordinator3']),
+      lasts: duration.s(4),
+    },
+    { name: 'core_cut_off', strike: () => deployment.partition(coordinators, others), lasts: duration.s(5) },
+    { name: 'zone_lost', strike: () => zone.forEach((name) => deployment.kill(name, 'power')), lasts: duration.s(0.1) },
+    { name: 'zone_back', strike: () => zone.forEach((name) => deployment.start(name)), lasts: duration.s(0.1) },
+    { name: 'all_at_once', strike: () => killedAndStarted(deployment, all, 'power'), lasts: duration.s(1) },
+  ];
+};
+
 /** The faults that end a day, one after another; each is timed until all gateways serve again. */
 export const closing: Scenario = {
   rule: 'after a closing fault, serving is back within twelve seconds',
   run: async (seed, shape, log) => {
-    const f = await fleet.open({ seed, shape, log });
-    const l = f.load({ chats: 70, kept: 10, jobs: 80, over: duration.s(26) });
+    const deployment = await fleet.open({ seed, shape, log });
+    const load = deployment.load({ chats: 70, kept: 10, jobs: 80, over: duration.s(26) });
     const figures: Record<string, number> = {};
-    const time = async (name: string, fault: () => (() => void) | void, lasts: Microseconds): Promise<void> => {
-      const heal = fault();
-      await run(f, lasts);
+    await run(deployment, duration.s(2));
+    for (const { name, strike, lasts } of faultsOf(deployment)) {
+      const heal = strike();
+      await run(deployment, lasts);
       heal?.();
-      figures[`${name}_ms`] = duration.toMs(await serving(f, duration.s(12)));
-    };
-    await run(f, duration.s(2));
-    await time(
-      'towers_restarted',
-      () => {
-        for (const t of coordinators) f.kill(t);
-        return () => coordinators.forEach((t) => f.start(t));
-      },
-      duration.s(1),
-    );
-    await time(
-      'stores_power_cycled',
-      () => {
-        for (const k of stores) f.kill(k, 'power');
-        return () => stores.forEach((k) => f.start(k));
-      },
-      duration.s(1),
-    );
-    await time('core_cut_in_two', () => f.partition(['coordinator1'], ['coordinator2', 'coordinator3']), duration.s(4));
-    await time(
-      'core_cut_off',
-      () =>
-        f.partition(
-          coordinators,
-          f.processes.filter((p) => p.role !== 'coordinator').map((p) => p.name),
-        ),
-      duration.s(5),
-    );
-    const zone = f.processes.filter((p) => p.host.zone === 'z2');
-    await time(
-      'zone_lost',
-      () => {
-        for (const p of zone) f.kill(p.name, 'power');
-      },
-      duration.s(0.1),
-    );
-    await time(
-      'zone_back',
-      () => {
-        for (const p of zone) f.start(p.name);
-      },
-      duration.s(0.1),
-    );
-    await time(
-      'all_at_once',
-      () => {
-        for (const p of f.processes) f.kill(p.name, 'power');
-        return () => f.processes.forEach((p) => f.start(p.name));
-      },
-      duration.s(1),
-    );
-    await settleLoad(f, l);
-    return finish(f, figures);
+      figures[`${name}_ms`] = duration.toMs(await serving(deployment, duration.s(12)));
+    }
+    await settleLoad(deployment, load);
+    return finish(deployment, figures);
   },
 };
