--- a/tools/simulation/src/scenarios/urgent.ts
+++ b/tools/simulation/src/scenarios/urgent.ts
@@ -40,7 +40,7 @@
 const sendUrgent = async (deployment: Fleet, turns: UrgentTurns, i: number): Promise<void> => {
   turns.open += 1;
   const begun = deployment.world.now();
-  const response = await f
+  const response = await deployment
     .http(
       gatewayAt(deployment, i),
       'POST',
--- a/tools/test-harness/test/limits.test.ts
+++ b/tools/test-harness/test/limits.test.ts
@@ -14,8 +14,8 @@
 /** How many files may be over each limit. These numbers only go down, with the list. */
 const most: Record<string, number> = {
   'max-lines': 3,
-  'max-lines-per-function': 30,
-  'id-length': 82,
+  'max-lines-per-function': 28,
+  'id-length': 80,
   'jsdoc/require-jsdoc': 57,
 };
 
