--- a/packages/data-plane/src/warm-up/warm-up.ts
+++ b/packages/data-plane/src/warm-up/warm-up.ts
@@ -111,35 +111,52 @@
   }
 };
 
-const run = async ({ runtime, programs, within, goodEnough, shouldContinue }: WarmUpOptions): Promise<WarmUpResult> => {
-  const quiet: Runtime = { ...runtime, log: () => () => undefined };
-  const { clock } = runtime;
-  const end = clock.now() + within;
+/** Opens all that a warm-up needs, and gives a connection to its gateway; what is open is closed by `cleanups`. */
+const openStage = async (runtime: Runtime, cleanups: (() => unknown)[]): Promise<HttpConnection> => {
+  const worker = await openWarmUpWorker(runtime, loopback, names);
+  cleanups.push(worker.close);
+  const cluster = await openWarmUpCluster(runtime, loopback, worker.at);
+  cleanups.push(cluster.close);
+  const plane = dataPlane.open({ runtime, rpc: cluster.rpc, membership: cluster.membership });
+  cleanups.push(plane.close);
+  const gateway = await runtime.net.serveHttp(loopback, plane.forward(dialect.byHeaders(names)), largestRequest);
+  cleanups.push(gateway.close);
+  const connection = runtime.net.connectHttp(gateway.at, { connectWithin });
+  cleanups.push(connection.close);
+  return connection;
+};
+
+/** Plays programs until the time is up, they are fast enough, or no more may be played. */
+const playPrograms = async (options: WarmUpOptions, connection: HttpConnection): Promise<WarmUpResult> => {
+  const { programs, within, goodEnough, shouldContinue, runtime } = options;
+  const { now } = runtime.clock;
   const result: WarmUpResult = { requests: 0, failed: 0 };
-  const worker = await openWarmUpWorker(quiet, loopback, names);
-  const cluster = await openWarmUpCluster(quiet, loopback, worker.at);
-  const plane = dataPlane.open({ runtime: quiet, rpc: cluster.rpc, membership: cluster.membership });
-  const gateway = await quiet.net.serveHttp(loopback, plane.forward(dialect.byHeaders(names)), largestRequest);
-  const connection = quiet.net.connectHttp(gateway.at, { connectWithin });
   const send = async (target: string, headers: string[], body: Buffer): Promise<void> => {
     result.requests += 1;
     if ((await exchangeOnce(connection, target, headers, body)) !== 200) result.failed += 1;
   };
+  const end = now() + within;
+  let perRequest: Microseconds = Infinity;
+  for (let program = 0; program < programs && perRequest > goodEnough; program++) {
+    if (now() >= end || !shouldContinue()) break;
+    const begun = now();
+    await playProgram(send, program);
+    perRequest = (now() - begun) / requestsPerProgram;
+  }
+  return result;
+};
+
+const run = async (options: WarmUpOptions): Promise<WarmUpResult> => {
+  const quiet: Runtime = { ...options.runtime, log: () => () => undefined };
+  const cleanups: (() => unknown)[] = [];
   try {
-    await time.sleep(clock, settleTime);
-    let perRequest: Microseconds = Infinity;
-    for (let program = 0; program < programs && perRequest > goodEnough; program++) {
-      if (clock.now() >= end || !shouldContinue()) break;
-      const begun = clock.now();
-      await playProgram(send, program);
-      perRequest = (clock.now() - begun) / requestsPerProgram;
-    }
+    const connection = await openStage(quiet, cleanups);
+    await time.sleep(quiet.clock, settleTime);
+    return await playPrograms(options, connection);
   } finally {
-    connection.close();
-    plane.close();
-    await Promise.all([gateway.close(), worker.close(), cluster.close()]);
+    // What was opened last is closed first.
+    await Promise.all(cleanups.reverse().map((close) => close()));
   }
-  return result;
 };
 
 /** Warms gateways up. */
