--- a/tools/simulation/src/guards/load-balancer.ts
+++ b/tools/simulation/src/guards/load-balancer.ts
@@ -32,7 +32,7 @@
     file: 'load-balancer/src/selection.js',
     find: 'available.filter(({ id }) => !detector.isEjected(id))',
     replacement: 'available',
-    noticedBy: { test: '../platform/test/failing-worker.test.js' },
+    noticedBy: { test: 'load-balancer/test/selection.test.js' },
   }),
   guard({
     name: 'where all workers fail alike none is passed by',
