Processes say that they start and why they end; memory on /metrics

A daemon's first line names its role and process; its last line names the status, the age, the memory and the reason, with the stack of an unhandled error. An end without that line came from outside. /metrics of each node has resident and peak memory, heap, buffers and age of the process. The checks of docs/ read the pages of its folders, too.

No other logic changed: the last lines replace three separate exits. cli, bundle, settings, known-red, admin, limits and docs tests pass.

--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -22,6 +22,7 @@
 export { invariant } from './invariant.js';
 export { lock, type Lock } from './lock.js';
 export type { FrameTransport, Net } from './net.js';
+export { processUsage, type ProcessUsage } from './process-usage.js';
 export type { Random } from './random.js';
 export { real } from './real.js';
 export type { Log, Runtime } from './runtime.js';
--- /dev/null
+++ b/packages/runtime/src/process-usage.ts
@@ -0,0 +1,26 @@
+/** What this process uses of its machine, as gauges for its metrics. */
+
+const bytesPerKilobyte = 1024;
+
+/** Memory in bytes and the age of the process in seconds, by metric name. */
+export type ProcessUsage = {
+  process_uptime_seconds: number;
+  process_resident_bytes: number;
+  /** The highest resident size since the start. */
+  process_resident_peak_bytes: number;
+  process_heap_bytes: number;
+  /** Buffers outside the heap. */
+  process_external_bytes: number;
+};
+
+/** Reads the present usage of this process. */
+export const processUsage = (): ProcessUsage => {
+  const { rss, heapUsed, external } = process.memoryUsage();
+  return {
+    process_uptime_seconds: Math.round(process.uptime()),
+    process_resident_bytes: rss,
+    process_resident_peak_bytes: process.resourceUsage().maxRSS * bytesPerKilobyte,
+    process_heap_bytes: heapUsed,
+    process_external_bytes: external,
+  };
+};
--- a/packages/runtime/src/real.ts
+++ b/packages/runtime/src/real.ts
@@ -6,6 +6,7 @@
 import { openFrameTransport } from './frames.js';
 import { sendRequest } from './http-client.js';
 import { requestListener, serveHttp } from './http-server.js';
+import { processUsage } from './process-usage.js';
 import type { Clock } from './clock.js';
 import type { Random } from './random.js';
 import type { Log, Runtime } from './runtime.js';
@@ -64,6 +65,7 @@
       connectHttp: connectHttp,
     },
     log: logOf,
+    usage: processUsage,
   }),
   /** Enables the logs of all parts except those that log every program or request; has no effect if DEBUG is set. */
   enableDefaultLogs: (): void => {
--- a/packages/runtime/src/runtime.ts
+++ b/packages/runtime/src/runtime.ts
@@ -13,5 +13,14 @@
  */
 export type Log = (text: string | (() => string)) => void;
 
-/** The environment of a process: production (`real.runtime`) or simulated. `log` creates the log of a named part. */
-export type Runtime = { clock: Clock; rand: Random; disk: Disk; net: Net; log: (part: string) => Log };
+/** The environment of a process: production (`real.runtime`) or simulated. */
+export type Runtime = {
+  clock: Clock;
+  rand: Random;
+  disk: Disk;
+  net: Net;
+  /** Creates the log of a named part. */
+  log: (part: string) => Log;
+  /** Gauges of the process itself by metric name; absent in the simulator, whose nodes share a process. */
+  usage?: () => Record<string, number>;
+};
--- a/programs/thornsail/src/bin.ts
+++ b/programs/thornsail/src/bin.ts
@@ -6,8 +6,9 @@
 import { defineCommand, renderUsage, runCommand, type ArgsDef, type CommandDef } from 'citty';
 import { configSchema, deprecatedNames, type Role } from '@thornsail/config-schema';
 import { queryShell } from '@thornsail/query-shell';
-import { fault, invariant, real, type Runtime } from '@thornsail/runtime';
+import { fault, real, type Runtime } from '@thornsail/runtime';
 import { currentCommandLine } from './deprecated-names.js';
+import { daemonProcess } from './daemon-process.js';
 import { operator } from './operator.js';
 import { roles, type Node } from './roles.js';
 import { warmUpGateway } from './warm-up.js';
@@ -91,35 +92,31 @@
 };
 
 const run = async (role: Role, options: { data?: string }): Promise<void> => {
+  const daemon = daemonProcess.open(err);
+  daemon.endAtUnhandledErrors();
+  daemon.announce(role);
   real.enableDefaultLogs();
   const runtime = real.runtime(options.data ?? '/nonexistent');
   const node = await (roles[role] as (runtime: Runtime, options: never) => Promise<Node>)(runtime, options as never);
   out(`${role} listens at http ${node.http}, siblings ${node.place}`);
   if (role === 'gateway') void warmUpGateway(runtime, node);
-  node.onFailed((why) => {
-    err(why);
-    process.exit(1);
-  });
+  node.onFailed((why) => daemon.end(1, why));
   let signals = 0;
-  const leave = (): void => {
+  const leave = (signal: NodeJS.Signals): void => {
     signals += 1;
-    if (signals > 1) process.exit(1);
+    if (signals > 1) daemon.end(1, `${signal}, the second signal`);
     // A gateway completes its running turns, and an agent is drained as well; a second signal exits at once.
     const drained = role === 'gateway' || role === 'agent' ? node.drain() : Promise.resolve();
     drained
       .catch(() => undefined)
       .then(() => node.close())
       .then(
-        () => process.exit(invariant.breaches().length ? 1 : 0),
-        () => process.exit(1),
+        () => daemon.endInOrder(signal),
+        (error: unknown) => daemon.end(1, `${signal}; the shutdown failed: ${fault.text(error)}`),
       );
   };
   process.on('SIGTERM', leave);
   process.on('SIGINT', leave);
-  process.on('unhandledRejection', (error) => {
-    err(`unhandled rejection: ${fault.text(error)}`);
-    process.exit(1);
-  });
 };
 
 const commonArgs: ArgsDef = {
--- a/programs/thornsail/src/roles.ts
+++ b/programs/thornsail/src/roles.ts
@@ -71,7 +71,8 @@
     onFailed: (listener) => (why === undefined ? void listeners.push(listener) : listener(why)),
   };
 };
-const commonCounts = (transport: Rpc, member: Membership): Record<string, number> => ({
+const commonCounts = (runtime: Runtime, transport: Rpc, member: Membership): Record<string, number> => ({
+  ...runtime.usage?.(),
   breaches: invariant.breaches().length,
   frames_sent: transport.counts().sent,
   frames_got: transport.counts().received,
@@ -260,7 +261,7 @@
         };
       },
       counts: () => ({
-        ...commonCounts(transport, member),
+        ...commonCounts(runtime, transport, member),
         view: coreNode.consensus.committed()?.term ?? 0,
         version: coreNode.consensus.committed()?.index ?? 0,
         leads: coreNode.consensus.role() === 'leader' ? 1 : 0,
@@ -328,7 +329,7 @@
         return { ok: why.length === 0, why };
       },
       counts: () => ({
-        ...commonCounts(transport, member),
+        ...commonCounts(runtime, transport, member),
         ...storeNode.counts(),
         ...sweepCounts,
         records: storeNode.size(),
@@ -404,7 +405,7 @@
         return { ok: why.length === 0, why };
       },
       counts: () => ({
-        ...commonCounts(transport, member),
+        ...commonCounts(runtime, transport, member),
         workers: workersOf(member.dissemination, runtime.clock.now()).length,
       }),
       drain: () => {
@@ -447,7 +448,7 @@
       name: options.name,
       http: options.http,
       ready: plane.ready,
-      counts: () => ({ ...commonCounts(transport, member), ...plane.counts() }),
+      counts: () => ({ ...commonCounts(runtime, transport, member), ...plane.counts() }),
       metrics: plane.metrics,
       drain: (drainOptions) => plane.drain(drainOptions),
       stop: () => plane.close(),
--- a/tools/simulation/test/docs.test.ts
+++ b/tools/simulation/test/docs.test.ts
@@ -21,6 +21,11 @@
         .filter((file) => file.endsWith('.ts'))
         .map((file) => path.join(folder, file))
     : [];
+/** The pages of docs/ and of the folders below it, relative to the root. */
+const pagesOfDocs = (): string[] =>
+  readdirSync(path.join(root, 'docs'), { recursive: true, encoding: 'utf8' })
+    .filter((page) => page.endsWith('.md'))
+    .map((page) => `docs/${page}`);
 const sources = (): string[] =>
   workspacesOf(root).flatMap((name) => ['src', 'test'].flatMap((folder) => filesBelow(path.join(name, folder))));
 
@@ -45,7 +50,7 @@
   const sections = new Set(
     [...read('docs/DESIGN.md').matchAll(/^#{2,3} (\d+(?:\.\d+)?)[. ]/gm)].map((match) => match[1]!),
   );
-  for (const file of [...sources(), ...readdirSync(path.join(root, 'docs')).map((page) => `docs/${page}`)])
+  for (const file of [...sources(), ...pagesOfDocs()])
     for (const match of read(file).matchAll(sectionReference))
       assert.ok(sections.has(match[1]!), `${file} refers to §${match[1]}`);
 });
@@ -259,8 +264,7 @@
 /** Matches a test, or a command that detects a removed guard, as pages name it: from the folder of its workspace. */
 const quotedTest = /`([a-z-]+\/test\/[a-z-]+(?:\.test)?)(?:\.[jt]s)?`/g;
 test('every test that a page names with its workspace exists', () => {
-  const pages = readdirSync(path.join(root, 'docs')).map((page) => `docs/${page}`);
-  for (const page of [...pages, 'README.md', 'CONTRIBUTING.md'])
+  for (const page of [...pagesOfDocs(), 'README.md', 'CONTRIBUTING.md'])
     for (const [, file] of read(page).matchAll(quotedTest))
       assert.ok(
         [`${file}.ts`, `${file}.test.ts`].some((name) => existsSync(fileOfWorkspace(root, name))),
@@ -273,7 +277,7 @@
   const withoutSrc = (file: string): string => `/${file.replace(/(^|\/)src\//, '$1')}`;
   const files = sources().filter((file) => !file.endsWith('.d.ts'));
   const knownFiles = [...files, ...filesBelow('examples')].map(withoutSrc);
-  for (const page of [...readdirSync(path.join(root, 'docs')).map((name) => `docs/${name}`), 'README.md'])
+  for (const page of [...pagesOfDocs(), 'README.md'])
     for (const [, file] of read(page).matchAll(quotedFile))
       assert.ok(
         knownFiles.some((candidate) => candidate.endsWith(withoutSrc(file!))),
