A signal during the start of a process waits for its handler

What callers saw: processes that ended by SIGHUP (changed settings) or, out of order, by SIGTERM shortly after their start; with several of them, no system.

Cause: the handlers were installed after the role was open, 170 to 187 ms after the exec on an idle machine, longer under load; until then the default action ends the process. The command line's daemons ended by SIGHUP at any time.

The signals are taken by the first file that a process loads, before the program is read and compiled; one without a handler waits for it.

--- /dev/null
+++ b/packages/runtime/src/signals.ts
@@ -0,0 +1,33 @@
+/**
+ * The signals that a daemon handles. Importing this module takes them: a program imports it before everything else,
+ * since a signal that arrives while the other modules load would end the process. A signal without a handler waits for
+ * one.
+ */
+
+/** Terminate in order (SIGTERM, SIGINT), and reload the settings (SIGHUP). */
+export type DaemonSignal = 'SIGHUP' | 'SIGTERM' | 'SIGINT';
+
+const daemonSignals: readonly DaemonSignal[] = ['SIGHUP', 'SIGTERM', 'SIGINT'];
+const handlers = new Map<DaemonSignal, () => void>();
+const waiting = new Set<DaemonSignal>();
+
+const receive = (signal: NodeJS.Signals): void => {
+  const handler = handlers.get(signal as DaemonSignal);
+  if (handler) handler();
+  else waiting.add(signal as DaemonSignal);
+};
+for (const signal of daemonSignals) process.on(signal, receive);
+
+/** The signals of this process. */
+export const signals = {
+  /** Sets the handler of a signal in place of the earlier one; it is called at once if the signal has come already. */
+  on: (signal: DaemonSignal, handler: () => void): void => {
+    handlers.set(signal, handler);
+    if (waiting.delete(signal)) handler();
+  },
+  /** Gives all signals back to their default action, which is taken at once for one that has come already. */
+  release: (): void => {
+    for (const signal of daemonSignals) process.off(signal, receive);
+    for (const signal of waiting) process.kill(process.pid, signal);
+  },
+};
