A reader of the log that is slow or gone costs lines, not the process

What callers saw: processes that ended with status 1, gateways first, once nobody took their output any more; a process whose output is not read grows.

Cause: a failed write to standard error or standard output is an error event, and without a listener an error event ends the process. A pipe that is not read takes writes into memory without a limit.

The log has one output now. Commands of the command line end quietly with their reader.

--- a/packages/runtime/src/real.ts
+++ b/packages/runtime/src/real.ts
@@ -1,10 +1,12 @@
 /** The production runtime (§2.1): system clock, file system, TCP frames, HTTP by polka and undici. */
 import { randomFillSync } from 'node:crypto';
+import { format } from 'node:util';
 import debug from 'debug';
 import { connectHttp } from './connection.js';
 import { openDataFolder } from './data-folder.js';
 import { openFrameTransport } from './frames.js';
 import { sendRequest } from './http-client.js';
+import { openLogOutput, type LogOutput } from './log-output.js';
 import { requestListener, serveHttp } from './http-server.js';
 import { processUsage } from './process-usage.js';
 import type { Clock } from './clock.js';
@@ -50,6 +52,15 @@
   };
 };
 
+let standardError: LogOutput | undefined;
+/** Standard error as the output of the log. A reader of standard output that goes away ends no process either. */
+const logOutput = (): LogOutput => {
+  if (standardError) return standardError;
+  process.stdout.on('error', () => undefined);
+  standardError = openLogOutput(process.stderr);
+  return standardError;
+};
+
 /** The production implementation of the runtime. */
 export const real = {
   requestListener,
@@ -65,10 +76,17 @@
       connectHttp: connectHttp,
     },
     log: logOf,
-    usage: processUsage,
+    usage: () => ({ ...processUsage(), log_lines_dropped: standardError?.dropped() ?? 0 }),
   }),
-  /** Enables the logs of all parts except those that log every program or request; has no effect if DEBUG is set. */
+  /** The output of a daemon's log, for lines of its own. */
+  logOutput,
+  /**
+   * Writes the logs of a daemon to `logOutput`. Unless DEBUG is set, enables the logs of all parts but those that log
+   * every program or request.
+   */
   enableDefaultLogs: (): void => {
+    const output = logOutput();
+    debug.log = (...args: unknown[]) => output.write(format(...args));
     if (process.env['DEBUG'] === undefined) debug.enable('thornsail:*,-thornsail:admission,-thornsail:requests');
   },
 };
--- a/programs/thornsail/src/command-line.ts
+++ b/programs/thornsail/src/command-line.ts
@@ -13,9 +13,11 @@
 import { roles, type Node } from './roles.js';
 import { warmUpGateway } from './warm-up.js';
 
+/** Ends a command whose reader has gone, as `head` does after its lines. */
+const endWithReader = (): void => void process.stdout.on('error', () => process.exit(0));
 const plain = (text: string): string => (process.stdout.isTTY ? text : stripVTControlCharacters(text));
 const out = (text: string): void => void process.stdout.write(`${plain(text)}\n`);
-const err = (text: string): void => void process.stderr.write(`thornsail: ${stripVTControlCharacters(text)}\n`);
+const err = (text: string): void => real.logOutput().write(`thornsail: ${stripVTControlCharacters(text)}`);
 const release =
   (JSON.parse(readFileSync(new URL('../package.json', import.meta.url), 'utf8')) as Record<string, string>)[
     'version'
@@ -318,7 +320,10 @@
 const start = async (): Promise<void> => {
   const { args: argv, warnings } = currentCommandLine(process.argv.slice(2));
   for (const warning of warnings) err(warning);
-  if (!isDaemon(argv)) signals.release();
+  if (!isDaemon(argv)) {
+    signals.release();
+    endWithReader();
+  }
   if (argv.includes('--help') || argv.includes('-h')) {
     out(await renderUsage(commandOf(argv)));
     return;
