The first group forms although a founder was killed while it started

What callers saw: the system did not start. No configuration was taken, no gateway became ready, though all processes ran.

Cause: only the founder with the lowest address forms the first group, and a process is a founder only in its first life (FirstStart). If that process ended before the group stood, nobody was left to form it. The consensus took its list of founders for configuration that lasts until the group is formed; the platform's settings do not last that long.

The list stands in the identity document, so a founder that starts again is one still. The wire field is optional: a former release counts as founding.

--- a/packages/consensus/src/driver.ts
+++ b/packages/consensus/src/driver.ts
@@ -41,7 +41,7 @@
   runtime: Runtime;
   rpc: Rpc;
   durable: DurableStore;
-  /** The addresses of the members of the first group; empty if the group exists already. */
+  /** The addresses of the members of the first group, at the first start; empty if the group exists already. */
   founders: Address[];
   initial: S;
   onCommit: (snapshot: Snapshot<S>) => void;
@@ -56,15 +56,31 @@
 
 type PendingCall<T> = { resolve: (value: T) => void; reject: (error: Error) => void };
 
-type Stored<S> = { id: string; term: number; accepted: Snapshot<S> | undefined; fileVersion: number };
-const load = async <S>(durable: DurableStore, codec: StateCodec<S>, newId: () => string): Promise<Stored<S>> => {
+type Stored<S> = {
+  id: string;
+  /** The founders as configured now, or at the first start: they count until the group is formed. */
+  founders: Address[];
+  firstLife: boolean;
+  term: number;
+  accepted: Snapshot<S> | undefined;
+  fileVersion: number;
+};
+const load = async <S>(
+  durable: DurableStore,
+  codec: StateCodec<S>,
+  configuredFounders: Address[],
+  newId: () => string,
+): Promise<Stored<S>> => {
   const identity = await durable.read<wire.IdentityDocument>(wire.documents.identity);
   const id = identity?.value.id ?? newId();
-  if (!identity) await durable.write(wire.documents.identity, 1, { id });
+  if (!identity) await durable.write(wire.documents.identity, 1, { id, founders: configuredFounders });
+  const founders = configuredFounders.length ? configuredFounders : (identity?.value.founders ?? []);
   const term = (await durable.read<wire.TermDocument>(wire.documents.term))?.value.view ?? 0;
   const snapshot = await durable.read<EncodedSnapshot>(wire.documents.snapshot);
   return {
     id,
+    founders,
+    firstLife: !identity,
     term,
     accepted: snapshot && wire.decodeSnapshot(snapshot.value, codec),
     fileVersion: snapshot?.version ?? 0,
@@ -212,14 +228,15 @@
 };
 
 const createState = <S>(
-  { runtime, rpc, founders, initial }: ConsensusOptions<S>,
+  { runtime, rpc, initial }: ConsensusOptions<S>,
   stored: Stored<S>,
   timing: Timing,
 ): ReplicaState<S> =>
   replica.create<S>({
     id: stored.id,
     at: rpc.address,
-    founders,
+    founders: stored.founders,
+    firstLife: stored.firstLife,
     initial,
     timing,
     term: stored.term,
@@ -262,7 +279,7 @@
   const log = runtime.log('coordinator');
   await recoverFolder(durable, log);
   const codec = options.codec ?? wire.plainCodec<S>();
-  const stored = await load(durable, codec, () => `coordinator-${runtime.rand.id()}`);
+  const stored = await load(durable, codec, options.founders, () => `coordinator-${runtime.rand.id()}`);
   const timing = { ...defaultTiming, ...options.timing };
   const state = createState(options, stored, timing);
   const io = openIo(options, codec, state, stored.fileVersion, log);
--- a/packages/consensus/src/follower.ts
+++ b/packages/consensus/src/follower.ts
@@ -173,8 +173,9 @@
     case 'resign':
       return onResign(step, { call, from, message });
     case 'discover': {
-      const { id, accepted } = step.state;
-      step.effects.push({ type: 'reply', call, reply: { kind: 'discover', id, formed: accepted !== undefined } });
+      const { id, accepted, founders } = step.state;
+      const reply = { kind: 'discover', id, formed: accepted !== undefined, founding: founders.length > 0 } as const;
+      step.effects.push({ type: 'reply', call, reply });
     }
   }
 };
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -40,6 +40,7 @@
   id: string;
   at: Address;
   founders: Address[];
+  firstLife: boolean;
   initial: S;
   timing: Timing;
   /** The term and the version that were read from the disk. */
--- a/packages/consensus/src/types.ts
+++ b/packages/consensus/src/types.ts
@@ -46,8 +46,11 @@
 export type PreVoteReply = { kind: 'pre-vote'; ok: boolean; term: number; unformed: boolean };
 /** The reply to a vote request. A granted vote carries the newest version that the voter has accepted. */
 export type VoteReply<S> = { kind: 'vote'; ok: boolean; term: number; accepted?: Snapshot<S> };
-/** The identity of the replica at an address, and whether it is a member already. */
-export type DiscoverReply = { kind: 'discover'; id: string; formed: boolean };
+/**
+ * The identity of the replica at an address, whether it is a member already, and whether it may form the group: a
+ * replica that has started again without its disk no longer knows that it is a founder.
+ */
+export type DiscoverReply = { kind: 'discover'; id: string; formed: boolean; founding: boolean };
 /** Whether the first version was accepted. */
 export type FormReply = { kind: 'form'; ok: boolean };
 /** Whether the follower will start an election early. */
@@ -149,7 +152,7 @@
 /** The version being replicated, with the identities of the members that have accepted it. */
 export type Replication<S> = Batch<S> & { startedAt: Microseconds; acknowledged: string[] };
 /** The founders found so far; `pending` counts the outstanding replies. */
-export type Discovery = { found: (Member & { formed: boolean })[]; pending: number };
+export type Discovery = { found: (Member & { formed: boolean; founding: boolean })[]; pending: number };
 
 /** The state of a replica in memory. `term` and `accepted` never run ahead of what is synced to its disk. */
 export type ReplicaState<S> = {
@@ -157,6 +160,8 @@
   /** This replica's own address. */
   at: Address;
   founders: Address[];
+  /** The replica has no earlier life: nothing that an earlier process of it has sent can be on its way. */
+  firstLife: boolean;
   initial: S;
   timing: Timing;
   role: Role;
--- a/packages/consensus/src/wire.ts
+++ b/packages/consensus/src/wire.ts
@@ -24,7 +24,7 @@
 /** The document with the promised term. */
 export type TermDocument = { view: number };
 /** The document with the member's identity, created at the first start. */
-export type IdentityDocument = { id: string };
+export type IdentityDocument = { id: string; founders?: string[] };
 /** The names of the documents on disk. */
 export const documents = { identity: 'identity', term: 'promise', snapshot: 'state' } as const;
 
@@ -138,7 +138,7 @@
         ? { ok: reply.ok, view: reply.term, accepted: encodeSnapshot(reply.accepted, codec) }
         : { ok: reply.ok, view: reply.term };
     case 'discover':
-      return { id: reply.id, formed: reply.formed };
+      return { id: reply.id, formed: reply.formed, founding: reply.founding };
     case 'form':
     case 'resign':
       return { ok: reply.ok };
@@ -172,8 +172,9 @@
   }
   if (kind === 'discover') {
     if (!isDiscoverReply(body)) return undefined;
-    const { id, formed } = body as { id: string; formed: boolean };
-    return { kind, id, formed };
+    // The previous release does not say whether it is founding; it is left to form the group.
+    const { id, formed, founding } = body as { id: string; formed: boolean; founding?: boolean };
+    return { kind, id, formed, founding: founding !== false };
   }
   return isFormReply(body) ? { kind, ok: (body as { ok: boolean }).ok } : undefined;
 };
--- a/packages/consensus/test/model.test.ts
+++ b/packages/consensus/test/model.test.ts
@@ -262,6 +262,31 @@
   }
   assert.is(leaders, 600 * effort);
 });
+test('a founder that starts again without its disk, and not as a founder, does not keep the group from forming', () => {
+  for (let seed = 1; seed <= 400 * effort; seed++) {
+    invariant.clear();
+    const pick = randomFrom(seed);
+    const size = seed % 4 === 0 ? 5 : 3;
+    const model = createModel(size, 0);
+    const failing = model.nodes[seed % 2 ? 0 : pick(size)]!;
+    const failureStep = pick(40);
+    for (let i = 0; i < 80 && model.violations.length === 0; i++) {
+      if (i === failureStep) {
+        perform(model, { kind: 'wipe', at: failing.at });
+        failing.founders = [];
+      }
+      const node = model.nodes[pick(size)]!;
+      if (!node.up) perform(model, { kind: 'restart', at: node.at });
+      else if (node.write && pick(3)) perform(model, { kind: 'sync', at: node.at });
+      else if (pick(4) === 0) perform(model, { kind: 'time-out', at: node.at });
+      const packets = packetActions(model).filter(({ kind }) => kind === 'deliver' || pick(8) === 0);
+      if (packets.length) perform(model, packets[pick(packets.length)]!);
+    }
+    checkRecovers(model);
+    assert.equal(model.violations, [], `seed ${seed}`);
+    assert.ok(leaderOf(model) !== undefined, `seed ${seed}: no leader`);
+  }
+});
 test('three members and two spares in random orders', () => {
   for (let seed = 1; seed <= 400 * effort; seed++) walk(3, 2, seed, 300);
 });
--- a/packages/consensus/test/model.ts
+++ b/packages/consensus/test/model.ts
@@ -23,6 +23,8 @@
   calls: Map<number, number>;
   nextCall: number;
   founders: string[];
+  /** It has not run before with its present disk. */
+  firstLife: boolean;
 };
 /** A request and its reply, on their way between two nodes. */
 type Packet = {
@@ -235,6 +237,7 @@
     id: node.id,
     at: node.at,
     founders: node.founders,
+    firstLife: node.firstLife,
     initial: [],
     timing: defaultTiming,
     term: node.disk.term,
@@ -245,6 +248,7 @@
 };
 
 const stopNode = (node: Node): void => {
+  node.firstLife = false;
   node.up = false;
   node.state = undefined;
   node.write = undefined;
@@ -306,6 +310,7 @@
   stopNode(node);
   node.id = `${node.id}'`;
   node.disk = { term: 0 };
+  node.firstLife = true;
   // A machine is configured with the founders only at its first start, or while the group is not formed yet.
   if (model.chosenVersions.length > 0) node.founders = [];
 };
@@ -476,6 +481,7 @@
   calls: new Map(),
   nextCall: 1,
   founders,
+  firstLife: true,
 });
 
 /** Starts a group of founders and some spare nodes that belong to no group. */
