Memory for request bodies is taken from a budget before a body is read

What callers saw: a gateway over its memory limit, which the platform kills, when several clients send large bodies at once.

Cause: each request buffered its body in pieces and then whole, with no limit for the process. The memory followed the number of requests times MaxBodyBytes.

A request takes memory for its whole body before any of it is read; while there is none left it waits unread, so its client is held up by flow control. Frames between nodes are joined once they are complete, not at each piece.

--- a/packages/runtime/src/frames.ts
+++ b/packages/runtime/src/frames.ts
@@ -9,6 +9,8 @@
 
 /** A longer frame closes its connection. */
 const maxFrameBytes = 16 << 20;
+/** Size of the length before each frame, in bytes. */
+const lengthBytes = 4;
 /** Bytes buffered for a slow peer; further frames to it are dropped. */
 const maxBufferedBytes = 8 << 20;
 /** A connection without traffic is closed after this time. */
@@ -31,15 +33,19 @@
     stopped = true;
     onInvalid(reason);
   };
+  /** Bytes up to the end of the next frame, once its length is known: until then the parts are not joined. */
+  let needed = lengthBytes;
   return (data) => {
     parts.push(data);
     size += data.length;
-    while (!stopped && size >= 4) {
+    while (!stopped && size >= needed) {
       const buffered = parts.length === 1 ? parts[0]! : Buffer.concat(parts);
       parts = [buffered];
       const length = buffered.readUInt32BE(0);
       if (length > maxFrameBytes) return stop(`frame of ${length} bytes exceeds the limit`);
-      if (size < 4 + length) return;
+      needed = lengthBytes + length;
+      if (size < needed) return;
+      needed = lengthBytes;
       const rest = buffered.subarray(4 + length);
       parts = rest.length ? [rest] : [];
       size = rest.length;
--- a/packages/runtime/src/http-server.ts
+++ b/packages/runtime/src/http-server.ts
@@ -7,6 +7,8 @@
 import polka from 'polka';
 import { flatHeaders } from './headers.js';
 import { address } from './address.js';
+import { openBodyBudget, type BodyBudget } from './body-budget.js';
+import { readBody, smallBodyBytes } from './body-reader.js';
 import type { Cancel } from './clock.js';
 import { fault } from './fault.js';
 import type { HttpRequest, HttpHandler, HttpLimits, HttpResponseWriter } from './http.js';
@@ -112,11 +114,14 @@
     return undefined;
   }
 };
+/** Memory for the bodies of all requests in progress at a server that sets no limit of its own, in bytes. */
+const defaultBodyMemory = 64 << 20;
 /**
  * Creates a request listener that buffers each request and passes it to `handler`. If the handler rejects, the response
  * is aborted.
  * @param maxBodyBytes a longer body is discarded and the request marked `bodyTooLarge`, and a body over four times as
  * long closes the connection
+ * @param budget the memory for the bodies of all requests in progress
  * @param handles whether a path is served here; for any other path `next` is called, if given
  */
 export const requestListener =
@@ -124,6 +129,7 @@
     handler: HttpHandler,
     maxBodyBytes: number | (() => number),
     handles: (path: string) => boolean = () => true,
+    budget: BodyBudget = openBodyBudget(defaultBodyMemory, smallBodyBytes),
   ): RequestListener =>
   (request, response, next) => {
     const writer = responseWriter(request, response);
@@ -135,27 +141,11 @@
     }
     if (next && !handles(url.pathname)) return next();
     const limit = typeof maxBodyBytes === 'number' ? maxBodyBytes : maxBodyBytes();
-    const chunks: Buffer[] = [];
-    let size = 0;
-    let bodyTooLarge = false;
-    request.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > limit) {
-        bodyTooLarge = true;
-        chunks.length = 0;
-      } else chunks.push(chunk);
-      if (size > limit * 4) request.destroy();
-    });
-    request.on('end', () => {
-      const received = toHttpRequest(
-        request,
-        url,
-        chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks),
-        bodyTooLarge,
-      );
+    const release = readBody(request, { limit, budget }, ({ bytes, tooLarge }) => {
       Promise.resolve()
-        .then(() => handler(received, writer))
-        .catch(() => writer.abort());
+        .then(() => handler(toHttpRequest(request, url, bytes, tooLarge), writer))
+        .catch(() => writer.abort())
+        .finally(release);
     });
   };
 
@@ -215,7 +205,12 @@
     refreshTimer.unref();
     const responses = trackResponses();
     server.on('request', (_, response) => responses.add(response));
-    const listen = requestListener(handler, httpLimits.maxBodyBytes);
+    const listen = requestListener(
+      handler,
+      httpLimits.maxBodyBytes,
+      undefined,
+      openBodyBudget(httpLimits.bodyMemory ?? defaultBodyMemory, smallBodyBytes),
+    );
     const app = polka({
       server,
       onError: (_error, _request, response) => void response.destroy(),
--- a/packages/runtime/src/http.ts
+++ b/packages/runtime/src/http.ts
@@ -69,6 +69,8 @@
 /** Limits of a server on its clients. Functions are evaluated again while the server runs. */
 export type HttpLimits = {
   maxBodyBytes: () => number;
+  /** Memory for the bodies of all requests in progress, in bytes. Fixed when the server starts. */
+  bodyMemory?: number;
   /** Fixed when the server starts. */
   maxHeaderBytes?: number;
   headersTimeout?: () => Microseconds;
