A store refuses very large values beyond a limit instead of ending

What callers saw: stores that ended with their heap exhausted, all three within 50 ms of each other, and again at their next start, when clients sent turns of 4 MB on a route that retains them.

Cause: a store keeps all values in memory, and nothing limits large ones; the heap limit ends the process, and as all stores hold the same, all end at once.

Values of 512 KB and more may take 24 million characters together, counted with the writes in progress; further ones are refused (no-memory, may be retried), as a full disk is. Smaller values are never refused by this.

Left: the gateway learns of the refusal only at the end of the stream, which it then aborts.

--- a/packages/register-store/src/replica-storage.ts
+++ b/packages/register-store/src/replica-storage.ts
@@ -12,6 +12,7 @@
 } from '@thornsail/durable-files';
 import { ballot, type Ballot } from './ballot.js';
 import { rangeCount, replicaTable, type ReplicaTable } from './replica-table.js';
+import { openLargeValues, type LargeValues } from './large-values.js';
 import type { Replica } from './types.js';
 import { decodeReplica, documents, encodeReplica, type WireReplica } from './wire.js';
 
@@ -37,6 +38,8 @@
   /** Removes all replicas, including those whose write is in progress. */
   removeAll: () => Promise<void>;
   counts: RecordStore<Replica>['counts'];
+  /** The approximate size of all large values, in characters. */
+  largeValues: () => number;
 };
 
 /** The key of the record that holds the floor; no register has this key. */
@@ -52,17 +55,30 @@
 };
 
 /** Combines the replica table with the record of the floor. */
-const withFloor = (table: ReplicaTable): { index: RecordIndex<Replica>; floor: () => number } => {
+const withFloor = (table: ReplicaTable, large: LargeValues): { index: RecordIndex<Replica>; floor: () => number } => {
   let floorEntry: RecordEntry<Replica> | undefined;
   return {
     floor: () => floorEntry?.value.promised[0] ?? 0,
     index: {
       get: (key) => (key === floorKey ? floorEntry : table.get(key)),
-      set: (key, next) => (key === floorKey ? void (floorEntry = next) : table.set(key, next)),
-      delete: (key) => (key === floorKey ? void (floorEntry = undefined) : table.delete(key)),
+      set: (key, next) => {
+        if (key === floorKey) floorEntry = next;
+        else {
+          table.set(key, next);
+          large.record(key, next.value);
+        }
+      },
+      delete: (key) => {
+        if (key === floorKey) floorEntry = undefined;
+        else {
+          table.delete(key);
+          large.record(key, undefined);
+        }
+      },
       clear: () => {
         floorEntry = undefined;
         table.clear();
+        large.clear();
       },
     },
   };
@@ -84,7 +100,8 @@
   log: (text: string) => void,
 ): Promise<ReplicaStorage> => {
   const table = replicaTable.open();
-  const { index, floor } = withFloor(table);
+  const large = openLargeValues();
+  const { index, floor } = withFloor(table, large);
   const prefix = documents.legacyPrefix;
   const records = recordStore.open<Replica>({ durable, index, prefix, limits, codec });
   const onDocument = (name: string, { value }: { value: unknown }): void => {
@@ -99,7 +116,7 @@
     get,
     getOrEmpty: (key) => get(key) ?? emptyReplica,
     promisedOf: (key) => get(key)?.promised ?? (floor() > 0 ? [floor(), afterAllProposers] : ballot.zero),
-    write: records.write,
+    write: (key, replica) => large.write(key, replica, () => records.write(key, replica)),
     remove: records.remove,
     floor,
     raiseFloor: (newFloor) =>
@@ -108,5 +125,6 @@
       }),
     removeAll: () => removeAllOf(records, table),
     counts: records.counts,
+    largeValues: large.size,
   };
 };
--- a/packages/register-store/src/store.ts
+++ b/packages/register-store/src/store.ts
@@ -26,6 +26,8 @@
   merges: number;
   files: number;
   disk_bytes: number;
+  /** The approximate size of all large values, in characters. */
+  large_values: number;
 };
 /** A running store. */
 export type Store = {
@@ -85,7 +87,17 @@
       const { batches, records: batched, merges, files, bytes: disk_bytes } = storage.counts();
       const { waiting } = context;
       const longest = storage.table.longest();
-      return { ...context.counts, waiting: waiting(), longest, batches, batched, merges, files, disk_bytes };
+      return {
+        ...context.counts,
+        waiting: waiting(),
+        longest,
+        batches,
+        batched,
+        merges,
+        files,
+        disk_bytes,
+        large_values: storage.largeValues(),
+      };
     };
     return { id, group: group.group, adoptGroup: group.adopt, size: storage.table.size, counts };
   },
