A failed message to oneself, drain or group change is logged and ends nothing

A store whose disk is full refused to write the next group, and ended; so could a notification to the own node whose handler throws, and a drain that the coordinators do not confirm. They are logged now, and the next state brings the group again.

--- a/packages/rpc/src/endpoint.ts
+++ b/packages/rpc/src/endpoint.ts
@@ -61,7 +61,7 @@
     );
     const self = transport.at;
     const isClosed = (): boolean => closed;
-    const sender = openSender({ self, handlers, pending, nextRequestId, sendText, isClosed });
+    const sender = openSender({ self, handlers, pending, nextRequestId, sendText, isClosed, log });
     return {
       address: self,
       notify: (to, method, body) => sender.notifyAll([to], method, body),
--- a/packages/rpc/src/sender.ts
+++ b/packages/rpc/src/sender.ts
@@ -2,7 +2,7 @@
  * Sends requests and notifications (§3.1). A message to several peers is encoded once. A message to the own node uses
  * no connection; its handler runs asynchronously, as for a message from a peer.
  */
-import { duration, type Address, type Microseconds, type Random } from '@thornsail/runtime';
+import { duration, fault, type Address, type Log, type Microseconds, type Random } from '@thornsail/runtime';
 import { rpcErrors } from './errors.js';
 import { copyBody, encodeFrame } from './frame.js';
 import type { Handlers } from './handlers.js';
@@ -21,6 +21,7 @@
   /** Sends an encoded frame; no effect once the endpoint is closed. */
   sendText: (to: Address, text: string) => void;
   isClosed: () => boolean;
+  log: Log;
 };
 /** Sends the requests and notifications of one endpoint. */
 export type Sender = {
@@ -49,7 +50,9 @@
     return (await handler(copyBody(body), self)) as Result;
   };
   const notifySelf = (method: string, body: unknown): void =>
-    void Promise.resolve().then(() => handlers.find(method)?.(copyBody(body), self));
+    void Promise.resolve()
+      .then(() => handlers.find(method)?.(copyBody(body), self))
+      .catch((error: unknown) => options.log(`notification ${method} to this node failed: ${fault.text(error)}.`));
   const notifyAll: Sender['notifyAll'] = (peers, method, body) => {
     if (options.isClosed()) return;
     let text: string | undefined;
--- a/packages/runtime/src/http-server.ts
+++ b/packages/runtime/src/http-server.ts
@@ -114,6 +114,8 @@
     return undefined;
   }
 };
+/** Connections of a server that sets no limit of its own; further ones are closed, so that descriptors are left. */
+const defaultMaxConnections = 500;
 /** Memory for the bodies of all requests in progress at a server that sets no limit of its own, in bytes. */
 const defaultBodyMemory = 64 << 20;
 /**
@@ -133,6 +135,8 @@
   ): RequestListener =>
   (request, response, next) => {
     const writer = responseWriter(request, response);
+    // A write that fails ends its response only.
+    response.on('error', () => writer.abort());
     const url = parseUrl(request);
     if (!url) {
       writer.writeHead(400, { 'content-type': 'application/json' });
@@ -196,6 +200,7 @@
     const server = http.createServer({
       ...(httpLimits.maxHeaderBytes ? { maxHeaderSize: httpLimits.maxHeaderBytes } : {}),
     });
+    server.maxConnections = httpLimits.maxConnections ?? defaultMaxConnections;
     const applyTimeouts = (): void => {
       server.keepAliveTimeout = httpLimits.keepAliveTimeout ? httpLimits.keepAliveTimeout() / 1000 : 5_000;
       if (httpLimits.headersTimeout) server.headersTimeout = httpLimits.headersTimeout() / 1000;
--- a/programs/thornsail/src/drain.ts
+++ b/programs/thornsail/src/drain.ts
@@ -6,7 +6,7 @@
  * Handles drain requests. Throws a fault with code `other` if the request is meant for another process, which may have
  * had this address when the request was sent.
  * @param id identity of this process; a request of the previous release names none, and is accepted
- * @param drain starts the drain; the reply does not wait for its end
+ * @param drain starts the drain and never rejects; the reply does not wait for its end
  */
 export const handleDrainRequests = (rpc: Pick<Rpc, 'on'>, id: string, drain: () => Promise<void>): void =>
   rpc.on<{ to?: string }>('node.drain', validate.object({ to: validate.optional(validate.string) }), ({ to }) => {
--- a/programs/thornsail/src/roles.ts
+++ b/programs/thornsail/src/roles.ts
@@ -137,7 +137,10 @@
         : admin(request, response),
     parts.maxBody ?? maxAdminBodyBytes,
   );
-  handleDrainRequests(parts.rpc, parts.membership.id, drain);
+  const log = parts.runtime.log('drain');
+  handleDrainRequests(parts.rpc, parts.membership.id, () =>
+    drain().catch((error: unknown) => log(`the drain failed: ${fault.text(error)}.`)),
+  );
   return {
     id: parts.membership.id,
     role: parts.role,
@@ -280,6 +283,7 @@
     const transport = await rpc.open(runtime, options.place);
     const disk = monitorDisk(runtime);
     const durable = await durableStore.open(runtime.disk, disk.failed);
+    const log = runtime.log('store');
     const storeNode = await store.open({ runtime, rpc: transport, durable });
     const member = membership.open({
       runtime,
@@ -301,7 +305,9 @@
     const sweepCounts: Record<string, number> = {};
     member.onState(() => {
       const group = groupOf(member);
-      if (group) void storeNode.adoptGroup(group);
+      // A full disk refuses the write; the next state brings the group again.
+      if (group)
+        storeNode.adoptGroup(group).catch((error: unknown) => log(`the group was not adopted: ${fault.text(error)}.`));
     });
     const stopSweep = sweepDuty({
       runtime,
