Open connections leave descriptors for files

A file that can't be opened for want of descriptors counts as a full disk: nothing has changed, and the write may be repeated. The last line is written without the memory if that can't be read.

--- a/packages/runtime/src/data-folder.ts
+++ b/packages/runtime/src/data-folder.ts
@@ -6,8 +6,8 @@
 
 /** The file system calls that a data folder uses; tests inject failing ones. */
 export type FileCalls = Pick<typeof fs, 'open' | 'rename' | 'readFile' | 'readdir' | 'rm' | 'unlink' | 'mkdir'>;
-/** The error codes of a full disk or an exhausted quota. */
-const diskFullCodes = new Set(['ENOSPC', 'EDQUOT']);
+/** The error codes of a full disk, of an exhausted quota, and of a process without a free descriptor. */
+const diskFullCodes = new Set(['ENOSPC', 'EDQUOT', 'EMFILE', 'ENFILE']);
 /** Wraps an error of a file system call; only a write can fail with code `full`. */
 const diskFault = (step: string, error: unknown): Error => {
   const full = step === 'write' && diskFullCodes.has((error as NodeJS.ErrnoException).code ?? '');
--- a/packages/runtime/src/frames.ts
+++ b/packages/runtime/src/frames.ts
@@ -15,6 +15,8 @@
 const maxBufferedBytes = 8 << 20;
 /** A connection without traffic is closed after this time. */
 const idleTimeoutMs = 30_000;
+/** Further incoming connections are closed, so that descriptors are left for files and outgoing connections. */
+const maxIncomingConnections = 2500;
 /** Time limit for establishing a connection. */
 const connectTimeoutMs = 2_000;
 
@@ -121,6 +123,7 @@
       receive(socket, onFrame, onProtocolError);
       socket.on('close', () => incoming.delete(socket));
     });
+    server.maxConnections = maxIncomingConnections;
     const connect = (peer: Address): net.Socket => {
       const socket = connectTo(peer, self, (closed) => {
         if (outgoing.get(peer) === closed) outgoing.delete(peer);
--- a/packages/runtime/src/http.ts
+++ b/packages/runtime/src/http.ts
@@ -71,6 +71,8 @@
   maxBodyBytes: () => number;
   /** Memory for the bodies of all requests in progress, in bytes. Fixed when the server starts. */
   bodyMemory?: number;
+  /** Connections at a time; further ones are closed. Fixed when the server starts. */
+  maxConnections?: number;
   /** Fixed when the server starts. */
   maxHeaderBytes?: number;
   headersTimeout?: () => Microseconds;
--- a/packages/runtime/src/process-usage.ts
+++ b/packages/runtime/src/process-usage.ts
@@ -13,9 +13,18 @@
   process_external_bytes: number;
 };
 
-/** Reads the present usage of this process. */
+/** Reading the resident size opens a file, which fails when all descriptors are in use. */
+const memoryUsage = (): { rss: number; heapUsed: number; external: number } => {
+  try {
+    return process.memoryUsage();
+  } catch {
+    return { rss: 0, heapUsed: 0, external: 0 };
+  }
+};
+
+/** Reads the present usage of this process; memory is 0 while it can't be read. */
 export const processUsage = (): ProcessUsage => {
-  const { rss, heapUsed, external } = process.memoryUsage();
+  const { rss, heapUsed, external } = memoryUsage();
   return {
     process_uptime_seconds: Math.round(process.uptime()),
     process_resident_bytes: rss,
