--- a/packages/consensus/src/group-formation.ts
+++ b/packages/consensus/src/group-formation.ts
@@ -3,7 +3,7 @@
  * and none of them is a member of a group already. If that founder has started again without its disk, and so no longer
  * knows that it is one, the next founder that has run since its first start forms the group in its place.
  */
-import { send } from './effects.js';
+import { log, send } from './effects.js';
 import { formGroup } from './follower.js';
 import type { Address } from '@thornsail/runtime';
 import type { DiscoverReply, Discovery, ReplicaState, Step } from './types.js';
@@ -40,13 +40,28 @@
   return isLowest || (firstLife && lowestFounding === at);
 };
 
+/** Logs why no group is formed, unless the last line said the same. */
+const logUnformed = <S>(step: Step<S>, { found }: Discovery): void => {
+  const { state } = step;
+  const answerOf = (address: Address): string => {
+    const member = found.find(({ at }) => at === address);
+    if (!member) return 'no answer';
+    return member.formed ? 'member of a group' : member.founding ? 'founder' : 'no founder any more';
+  };
+  const answers = state.founders.map((address) => `${address} ${answerOf(address)}`).join(', ');
+  if (answers === state.loggedAnswers) return;
+  state.loggedAnswers = answers;
+  log(step, `no group is formed yet: ${answers}.`);
+};
+
 const settleDiscovery = <S>(step: Step<S>): void => {
   const { state } = step;
   const { discovery, founders } = state;
   if (!discovery || discovery.pending > 0) return;
   state.discovery = undefined;
   const complete = discovery.found.length === founders.length && !discovery.found.some((member) => member.formed);
-  if (state.accepted || state.pendingWrite || !complete || !isFormer(state, discovery)) return;
+  if (state.accepted || state.pendingWrite) return;
+  if (!complete || !isFormer(state, discovery)) return logUnformed(step, discovery);
   const found = [...discovery.found].sort((a, b) => founders.indexOf(a.at) - founders.indexOf(b.at));
   const members = found.map(({ id, at }) => ({ id, at }));
   for (const member of members)
--- a/packages/consensus/src/types.ts
+++ b/packages/consensus/src/types.ts
@@ -201,6 +201,8 @@
   /** The start time of the newest round or replication that a quorum confirmed; the lease runs from here. */
   leaseStartedAt: Microseconds;
   discovery?: Discovery;
+  /** The answers of the founders that the last log line on the group's formation named. */
+  loggedAnswers?: string;
   closed: boolean;
 };
 
--- a/packages/runtime/src/http-server.ts
+++ b/packages/runtime/src/http-server.ts
@@ -160,6 +160,8 @@
   add: (response: http.ServerResponse) => void;
   /** Resolves once every ended response is handed to the operating system or has failed, or after `flushTimeout`. */
   flushed: () => Promise<void>;
+  /** Bytes that are written and not yet handed to the operating system. */
+  unsentBytes: () => number;
 };
 const trackResponses = (): OpenResponses => {
   const open = new Set<http.ServerResponse>();
@@ -182,8 +184,21 @@
       await Promise.race([Promise.all(unsent.map(whenClosed)), timeout]);
       clearTimeout(timer);
     },
+    unsentBytes: () => {
+      let bytes = 0;
+      for (const response of open) bytes += response.writableLength;
+      return bytes;
+    },
   };
 };
+/** The responses of all open servers of this process. */
+const openServers = new Set<OpenResponses>();
+/** Bytes of responses that clients of this process's servers have not taken yet. */
+export const unsentResponseBytes = (): number => {
+  let bytes = 0;
+  for (const responses of openServers) bytes += responses.unsentBytes();
+  return bytes;
+};
 const closeServer = (server: http.Server): Promise<void> =>
   new Promise((resolve) => {
     server.close(() => resolve());
@@ -209,6 +224,7 @@
     const refreshTimer = setInterval(applyTimeouts, 1_000);
     refreshTimer.unref();
     const responses = trackResponses();
+    openServers.add(responses);
     server.on('request', (_, response) => responses.add(response));
     const listen = requestListener(
       handler,
@@ -228,6 +244,7 @@
         at: `${bound.address}:${bound.port}`,
         close: async () => {
           clearInterval(refreshTimer);
+          openServers.delete(responses);
           // Node treats a connection as idle and destroys it once its response is ended, even if not yet written out.
           await responses.flushed();
           await closeServer(server);
--- a/packages/runtime/src/real.ts
+++ b/packages/runtime/src/real.ts
@@ -7,7 +7,7 @@
 import { openFrameTransport } from './frames.js';
 import { sendRequest } from './http-client.js';
 import { openLogOutput, type LogOutput } from './log-output.js';
-import { requestListener, serveHttp } from './http-server.js';
+import { requestListener, serveHttp, unsentResponseBytes } from './http-server.js';
 import { processUsage } from './process-usage.js';
 import type { Clock } from './clock.js';
 import type { Random } from './random.js';
@@ -76,7 +76,11 @@
       connectHttp: connectHttp,
     },
     log: logOf,
-    usage: () => ({ ...processUsage(), log_lines_dropped: standardError?.dropped() ?? 0 }),
+    usage: () => ({
+      ...processUsage(),
+      log_lines_dropped: standardError?.dropped() ?? 0,
+      http_response_bytes_unsent: unsentResponseBytes(),
+    }),
   }),
   /** The output of a daemon's log, for lines of its own. */
   logOutput,
