The system starts although its founders were killed before they knew that they are

Cause: only the first life of a process is told that it is a founder. Killed before its identity is on disk, it comes back as a node without founders; if all founders (or the lowest, the others having restarted as well) were killed so, nobody may form the group.

Change: an empty disk at a later start makes the seeds *possible* founders. These form a group only if all three of them are possible ones, none belongs to a group, and for 3 s nothing has shown that a group exists; a sign of one is noted on disk. More empty disks than can be lost at once show that there never was a group, so there are none where three machines, or zones, may be lost. The rule that a founder may take over in its first life only goes: all have to answer anyway, and the model finds no breach without.

The model's wiped nodes come back as possible founders now, also after a commit, which is harsher than before (they had no founders then), and the delay is 0 there.

--- a/packages/config-schema/src/index.ts
+++ b/packages/config-schema/src/index.ts
@@ -327,15 +327,19 @@
   options: <Name extends Role>(role: Name, raw: unknown): Checked<RoleOptions[Name]> => {
     const checked = check(optionCodecs[role] as unknown as io.Type<RoleOptions[Name]>, raw);
     if (!checked.ok) return checked;
-    const options = checked.value as { seeds: string[]; founders?: string[]; place: string };
+    const options = checked.value as {
+      seeds: string[];
+      founders?: string[];
+      possibleFounders?: string[];
+      place: string;
+    };
     const problems: Problem[] = [];
     if (options.seeds.length > 3) problems.push({ path: 'seeds', text: 'three at most' });
-    if (
-      options.founders &&
-      options.founders.length !== 0 &&
-      (options.founders.length !== 3 || !options.founders.includes(options.place))
-    )
-      problems.push({ path: 'founders', text: 'three addresses, this one among them, or none' });
+    for (const path of ['founders', 'possibleFounders'] as const) {
+      const addresses = options[path] ?? [];
+      if (addresses.length !== 0 && (addresses.length !== 3 || !addresses.includes(options.place)))
+        problems.push({ path, text: 'three addresses, this one among them, or none' });
+    }
     return problems.length ? { ok: false, problems } : checked;
   },
   /** Whether a value is the name of a role. */
@@ -343,7 +347,10 @@
   /** The option keys of a role, in the order of its help text. */
   keys: (role: Role): string[] =>
     ({
-      coordinator: ['place', 'http', 'zone', 'seeds', 'name', 'data', 'beatMs', 'founders', 'tolerates', 'leastStores'],
+      coordinator: [
+        ...['place', 'http', 'zone', 'seeds', 'name', 'data', 'beatMs'],
+        ...['founders', 'possibleFounders', 'tolerates', 'leastStores'],
+      ],
       store: ['place', 'http', 'zone', 'seeds', 'name', 'data', 'beatMs'],
       agent: ['place', 'http', 'zone', 'seeds', 'name', 'beatMs', 'platform'],
       gateway: ['place', 'http', 'zone', 'seeds', 'name', 'beatMs', 'agent'],
--- a/packages/config-schema/src/role-options.ts
+++ b/packages/config-schema/src/role-options.ts
@@ -19,8 +19,14 @@
 export const optionCodecs = {
   coordinator: strictObject(
     'coordinator options',
-    { ...processOptions, founders: io.array(addressCodec), tolerates: integer(1, 3), leastStores: integer(0, 7) },
-    { ...commonDefaults, founders: [], tolerates: 1, leastStores: 0 },
+    {
+      ...processOptions,
+      founders: io.array(addressCodec),
+      possibleFounders: io.array(addressCodec),
+      tolerates: integer(1, 3),
+      leastStores: integer(0, 7),
+    },
+    { ...commonDefaults, founders: [], possibleFounders: [], tolerates: 1, leastStores: 0 },
   ),
   store: strictObject('store options', processOptions, commonDefaults),
   agent: strictObject(
@@ -52,7 +58,11 @@
 };
 /** A role of a process. */
 export type Role = keyof typeof optionCodecs;
-/** Start-up options of a coordinator; `tolerates` is the number of machines that may be lost at once. */
+/**
+ * Start-up options of a coordinator; `tolerates` is the number of machines that may be lost at once. `founders` are the
+ * first coordinators, at the first start; `possibleFounders`, at a later one, those that were the founders if no group
+ * was ever formed (§3.3).
+ */
 export type CoordinatorOptions = io.TypeOf<typeof optionCodecs.coordinator>;
 /** Start-up options of a store. */
 export type StoreOptions = io.TypeOf<typeof optionCodecs.store>;
--- a/packages/consensus/src/core.ts
+++ b/packages/consensus/src/core.ts
@@ -38,6 +38,8 @@
   durable: DurableStore;
   /** The addresses of the first coordinators; empty if the group exists already. */
   founders: Address[];
+  /** Those that were the first coordinators if no group was ever formed; none if that can't be told (§3.3). */
+  possibleFounders?: Address[];
   onCommit: (version: Snapshot<AgreedState>) => void;
   /** Data of the leader's own, outside the agreed state, that it adds to the result of a read. */
   news?: () => unknown;
@@ -65,7 +67,8 @@
 /** Opens a coordinator from the state on its disk; it serves requests as soon as it is open. */
 export const core = {
   open: async (options: CoreOptions): Promise<Core> => {
-    const { runtime, rpc, durable, founders, onCommit, onLeadershipConfirmed, usedVersion, news } = options;
+    const { runtime, rpc, durable, founders, possibleFounders, onCommit } = options;
+    const { onLeadershipConfirmed, usedVersion, news } = options;
     const { clock } = runtime;
     const settings = { ...defaultSettings, ...options.settings };
     const log = runtime.log('coordinator');
@@ -75,6 +78,7 @@
       rpc,
       durable,
       founders,
+      ...(possibleFounders ? { possibleFounders } : {}),
       initial: agreedState.initial(),
       codec: stateCodec,
       onCommit: (version) => {
--- a/packages/consensus/src/driver.ts
+++ b/packages/consensus/src/driver.ts
@@ -7,7 +7,7 @@
 import type { Rpc } from '@thornsail/rpc';
 import { consensusErrors } from './errors.js';
 import { defaultTiming, replica } from './replica.js';
-import type { Change, Effect, Event, ProposalOutcome, ReadOutcome, ReplicaState } from './types.js';
+import type { Change, Effect, Event, Founding, ProposalOutcome, ReadOutcome, ReplicaState } from './types.js';
 import type { ReplyMessage, RequestMessage, Role, Snapshot, Timing, WriteEffect } from './types.js';
 import * as wire from './wire.js';
 import type { EncodedSnapshot, StateCodec } from './wire.js';
@@ -34,6 +34,8 @@
    * `not-leader`, `outcome-unknown`.
    */
   readLinearizable: () => Promise<Snapshot<S>>;
+  /** To be called when this node has learnt from others that a group exists. */
+  noteGroupExists: () => void;
   close: () => void;
 };
 /** Dependencies and settings of a member: clock and random source, RPC, disk, and the initial state. */
@@ -43,6 +45,8 @@
   durable: DurableStore;
   /** The addresses of the members of the first group, at the first start; empty if the group exists already. */
   founders: Address[];
+  /** Those that were the founders if no group was ever formed; they count if there is no identity on the disk. */
+  possibleFounders?: Address[];
   initial: S;
   onCommit: (snapshot: Snapshot<S>) => void;
   /** Encodes the state for the wire and the disk; without a codec the state is used as it is. */
@@ -50,6 +54,8 @@
   timing?: Partial<Timing>;
 };
 
+/** Versions of the identity document: as created, and after a possible founder has learnt that a group exists. */
+const identityVersions = { created: 1, groupExists: 2 } as const;
 const tickInterval: Microseconds = duration.ms(50);
 /** Error codes of a failed disk write; any other error is a programming error and is thrown. */
 const diskErrorCodes = ['full', 'failed'];
@@ -58,29 +64,44 @@
 
 type Stored<S> = {
   id: string;
-  /** The founders as configured now, or at the first start: they count until the group is formed. */
+  /** The founders as configured now or at an earlier start: they count until the group is formed. */
   founders: Address[];
-  firstLife: boolean;
+  founding: Founding;
   term: number;
   accepted: Snapshot<S> | undefined;
   fileVersion: number;
 };
+const foundingOf = ({ founders = [], possible = false }: wire.IdentityDocument): Founding => {
+  if (founders.length === 0) return 'none';
+  return possible ? 'possible' : 'certain';
+};
+/** Reads the identity, or creates it at the first start. The founders that are configured now replace those on disk. */
+const loadIdentity = async (
+  durable: DurableStore,
+  founders: Address[],
+  possibleFounders: Address[],
+  newId: () => string,
+): Promise<wire.IdentityDocument> => {
+  const stored = await durable.read<wire.IdentityDocument>(wire.documents.identity);
+  if (stored) return founders.length ? { ...stored.value, founders, possible: false } : stored.value;
+  const possible = founders.length === 0 && possibleFounders.length > 0;
+  const identity = { id: newId(), founders: possible ? possibleFounders : founders, possible };
+  await durable.write(wire.documents.identity, identityVersions.created, identity);
+  return identity;
+};
 const load = async <S>(
   durable: DurableStore,
   codec: StateCodec<S>,
-  configuredFounders: Address[],
+  { founders, possibleFounders = [] }: ConsensusOptions<S>,
   newId: () => string,
 ): Promise<Stored<S>> => {
-  const identity = await durable.read<wire.IdentityDocument>(wire.documents.identity);
-  const id = identity?.value.id ?? newId();
-  if (!identity) await durable.write(wire.documents.identity, 1, { id, founders: configuredFounders });
-  const founders = configuredFounders.length ? configuredFounders : (identity?.value.founders ?? []);
+  const identity = await loadIdentity(durable, founders, possibleFounders, newId);
   const term = (await durable.read<wire.TermDocument>(wire.documents.term))?.value.view ?? 0;
   const snapshot = await durable.read<EncodedSnapshot>(wire.documents.snapshot);
   return {
-    id,
-    founders,
-    firstLife: !identity,
+    id: identity.id,
+    founders: identity.founders ?? [],
+    founding: foundingOf(identity),
     term,
     accepted: snapshot && wire.decodeSnapshot(snapshot.value, codec),
     fileVersion: snapshot?.version ?? 0,
@@ -121,6 +142,7 @@
 
 /** The I/O of a member: event dispatch, log, pending calls, and the versions of the snapshot file. */
 type Io<S> = {
+  id: string;
   options: ConsensusOptions<S>;
   codec: StateCodec<S>;
   dispatch: (event: Event<S>) => void;
@@ -160,12 +182,19 @@
   io.dispatch({ type: 'written' });
 };
 
+const forgetFounders = <S>({ id, options, log }: Io<S>): Promise<void> =>
+  options.durable
+    .write(wire.documents.identity, identityVersions.groupExists, { id, founders: [] })
+    .catch((error: unknown) => log(`the identity document could not be replaced: ${fault.text(error)}.`));
+
 const execute = <S>(io: Io<S>, effect: Effect<S>): void => {
   switch (effect.type) {
     case 'send':
       return void sendRequest(io, effect);
     case 'write':
       return void writeDocument(io, effect);
+    case 'forget-founders':
+      return void forgetFounders(io);
     case 'reply':
       return io.calls.settle(effect.call, ({ resolve }) => resolve(effect.reply));
     case 'refuse':
@@ -236,7 +265,7 @@
     id: stored.id,
     at: rpc.address,
     founders: stored.founders,
-    firstLife: stored.firstLife,
+    founding: stored.founding,
     initial,
     timing,
     term: stored.term,
@@ -254,6 +283,7 @@
 ): Io<S> => {
   let fileVersion = lastFileVersion;
   const io: Io<S> = {
+    id: state.id,
     options,
     codec,
     log,
@@ -279,7 +309,7 @@
   const log = runtime.log('coordinator');
   await recoverFolder(durable, log);
   const codec = options.codec ?? wire.plainCodec<S>();
-  const stored = await load(durable, codec, options.founders, () => `coordinator-${runtime.rand.id()}`);
+  const stored = await load(durable, codec, options, () => `coordinator-${runtime.rand.id()}`);
   const timing = { ...defaultTiming, ...options.timing };
   const state = createState(options, stored, timing);
   const io = openIo(options, codec, state, stored.fileVersion, log);
@@ -300,6 +330,7 @@
         index: number;
         result: R;
       }>,
+    noteGroupExists: () => io.dispatch({ type: 'group-exists' }),
     readLinearizable: () => io.reads.add((read) => io.dispatch({ type: 'read', read })),
     close: () => {
       for (const stop of stops) stop();
--- a/packages/consensus/src/follower.ts
+++ b/packages/consensus/src/follower.ts
@@ -1,4 +1,5 @@
 /** Requests that every member handles (§3.3): append, heartbeat, pre-vote, vote, form, resign and discover. */
+import { noteRequest } from './group-signs.js';
 import { abandonElection, commit, writeSnapshot, writeTerm } from './effects.js';
 import { stepDown } from './leader.js';
 import { isNewer } from './quorum.js';
@@ -159,6 +160,7 @@
 /** Handles a request of another member; the reply is an effect of this step or of a later one. */
 export const onRequest = <S>(step: Step<S>, event: Event<S> & { type: 'request' }): void => {
   const { call, from, message } = event;
+  noteRequest(step, message.kind);
   switch (message.kind) {
     case 'append':
       return onAppend(step, { call, from, message });
@@ -173,8 +175,8 @@
     case 'resign':
       return onResign(step, { call, from, message });
     case 'discover': {
-      const { id, accepted, founders } = step.state;
-      const reply = { kind: 'discover', id, formed: accepted !== undefined, founding: founders.length > 0 } as const;
+      const { id, accepted, founding } = step.state;
+      const reply = { kind: 'discover', id, formed: accepted !== undefined, founding } as const;
       step.effects.push({ type: 'reply', call, reply });
     }
   }
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -8,6 +8,7 @@
 import { requestVotes, startElection, takeOver } from './election.js';
 import { needsDisk, onMemberWritten, onRequest } from './follower.js';
 import { discover, onDiscoverReply } from './group-formation.js';
+import { noteGroupExists } from './group-signs.js';
 import {
   checkLeaderWrite,
   checkReplication,
@@ -17,7 +18,17 @@
   propose,
 } from './leader.js';
 import { readCommitted, replicate, resign, retryAppend, startReplication, stepDown } from './leader.js';
-import type { Continuation, Effect, Event, ReplicaState, ReplyMessage, Snapshot, Step, Timing } from './types.js';
+import type {
+  Continuation,
+  Effect,
+  Event,
+  Founding,
+  ReplicaState,
+  ReplyMessage,
+  Snapshot,
+  Step,
+  Timing,
+} from './types.js';
 
 /** The default timing, in microseconds. */
 export const defaultTiming: Timing = {
@@ -29,6 +40,7 @@
   requestTimeout: duration.ms(300),
   preVoteTimeout: duration.ms(200),
   voteTimeout: duration.ms(400),
+  possibleFounderDelay: duration.s(3),
   retryDelay: duration.ms(20),
 };
 
@@ -40,7 +52,7 @@
   id: string;
   at: Address;
   founders: Address[];
-  firstLife: boolean;
+  founding: Founding;
   initial: S;
   timing: Timing;
   /** The term and the version that were read from the disk. */
@@ -54,6 +66,7 @@
   const { accepted, timing, now, random, ...rest } = options;
   const state: ReplicaState<S> = {
     ...rest,
+    startedAt: now,
     timing,
     role: accepted ? 'follower' : 'unformed',
     term: Math.max(options.term, accepted?.term ?? 0),
@@ -175,6 +188,8 @@
       return onWritten(step);
     case 'write-failed':
       return onWriteFailed(step, event.unchanged);
+    case 'group-exists':
+      return noteGroupExists(step);
     case 'close':
       return close(step);
   }
--- a/packages/consensus/src/types.ts
+++ b/packages/consensus/src/types.ts
@@ -11,6 +11,11 @@
 /** The roles of a replica. An `unformed` replica holds no version and grants no votes. */
 export type Role = 'unformed' | 'follower' | 'candidate' | 'leader';
 
+/**
+ * Whether a replica is a founder of the first group. `certain`: it was named one at the first start. `possible`: its
+ * disk was empty at a later start, since it was killed during the first one or has lost its disk.
+ */
+export type Founding = 'certain' | 'possible' | 'none';
 /** Intervals and timeouts in microseconds. */
 export type Timing = {
   heartbeat: Microseconds;
@@ -25,6 +30,8 @@
   requestTimeout: Microseconds;
   preVoteTimeout: Microseconds;
   voteTimeout: Microseconds;
+  /** How long possible founders wait for a sign of an existing group before they form one. */
+  possibleFounderDelay: Microseconds;
   retryDelay: Microseconds;
 };
 
@@ -50,7 +57,7 @@
  * The identity of the replica at an address, whether it is a member already, and whether it may form the group: a
  * replica that has started again without its disk no longer knows that it is a founder.
  */
-export type DiscoverReply = { kind: 'discover'; id: string; formed: boolean; founding: boolean };
+export type DiscoverReply = { kind: 'discover'; id: string; formed: boolean; founding: Founding };
 /** Whether the first version was accepted. */
 export type FormReply = { kind: 'form'; ok: boolean };
 /** Whether the follower will start an election early. */
@@ -86,6 +93,8 @@
   | { type: 'written' }
   /** `unchanged`: the disk is certain to hold the previous content. */
   | { type: 'write-failed'; unchanged: boolean }
+  /** Other nodes have told this one that a group exists. */
+  | { type: 'group-exists' }
   | { type: 'close' };
 
 /** Writes one of the two durable documents. */
@@ -99,6 +108,8 @@
   | { type: 'refuse'; call: number }
   /** The driver syncs the document and answers with `written` or `write-failed`; at most one write is pending. */
   | WriteEffect<S>
+  /** Notes on the disk that this replica is no founder; nothing waits for it. */
+  | { type: 'forget-founders' }
   | { type: 'commit'; snapshot: Snapshot<S> }
   | { type: 'proposal-outcome'; proposal: number; outcome: ProposalOutcome }
   | { type: 'read-outcome'; read: number; outcome: ReadOutcome<S> }
@@ -152,7 +163,7 @@
 /** The version being replicated, with the identities of the members that have accepted it. */
 export type Replication<S> = Batch<S> & { startedAt: Microseconds; acknowledged: string[] };
 /** The founders found so far; `pending` counts the outstanding replies. */
-export type Discovery = { found: (Member & { formed: boolean; founding: boolean })[]; pending: number };
+export type Discovery = { found: (Member & { formed: boolean; founding: Founding })[]; pending: number };
 
 /** The state of a replica in memory. `term` and `accepted` never run ahead of what is synced to its disk. */
 export type ReplicaState<S> = {
@@ -160,8 +171,10 @@
   /** This replica's own address. */
   at: Address;
   founders: Address[];
-  /** The replica has no earlier life: nothing that an earlier process of it has sent can be on its way. */
-  firstLife: boolean;
+  /** Whether this replica is one of the founders; without founders `none`. */
+  founding: Founding;
+  /** When the process was started. */
+  startedAt: Microseconds;
   initial: S;
   timing: Timing;
   role: Role;
--- a/packages/consensus/src/wire.ts
+++ b/packages/consensus/src/wire.ts
@@ -23,8 +23,8 @@
 export type EncodedSnapshot = { view: number; seq: number; members: Member[]; state: unknown };
 /** The document with the promised term. */
 export type TermDocument = { view: number };
-/** The document with the member's identity, created at the first start. */
-export type IdentityDocument = { id: string; founders?: string[] };
+/** The document with the member's identity, created at the first start. `possible`: the founders are possible ones. */
+export type IdentityDocument = { id: string; founders?: string[]; possible?: boolean };
 /** The names of the documents on disk. */
 export const documents = { identity: 'identity', term: 'promise', snapshot: 'state' } as const;
 
@@ -64,6 +64,7 @@
   resign: 'view.resign',
 };
 
+type DiscoverReplyBody = { id: string; formed: boolean; founding?: boolean; possible?: boolean };
 type AppendBody = { to: string; v: EncodedSnapshot; doneSeq: number };
 type HeartbeatBody = { to: string; view: number; doneSeq: number };
 
@@ -138,7 +139,13 @@
         ? { ok: reply.ok, view: reply.term, accepted: encodeSnapshot(reply.accepted, codec) }
         : { ok: reply.ok, view: reply.term };
     case 'discover':
-      return { id: reply.id, formed: reply.formed, founding: reply.founding };
+      // The previous release knows certain founders only.
+      return {
+        id: reply.id,
+        formed: reply.formed,
+        founding: reply.founding === 'certain',
+        possible: reply.founding === 'possible',
+      };
     case 'form':
     case 'resign':
       return { ok: reply.ok };
@@ -172,9 +179,10 @@
   }
   if (kind === 'discover') {
     if (!isDiscoverReply(body)) return undefined;
-    // The previous release does not say whether it is founding; it is left to form the group.
-    const { id, formed, founding } = body as { id: string; formed: boolean; founding?: boolean };
-    return { kind, id, formed, founding: founding !== false };
+    // A release before the previous one does not say whether it is a founder; it is left to form the group.
+    const { id, formed, founding, possible } = body as DiscoverReplyBody;
+    if (possible === true) return { kind, id, formed, founding: 'possible' };
+    return { kind, id, formed, founding: founding === false ? 'none' : 'certain' };
   }
   return isFormReply(body) ? { kind, ok: (body as { ok: boolean }).ok } : undefined;
 };
--- a/packages/consensus/test/model.test.ts
+++ b/packages/consensus/test/model.test.ts
@@ -273,7 +273,7 @@
     for (let i = 0; i < 80 && model.violations.length === 0; i++) {
       if (i === failureStep) {
         perform(model, { kind: 'wipe', at: failing.at });
-        failing.founders = [];
+        Object.assign(failing, { founders: [], founding: 'none' });
       }
       const node = model.nodes[pick(size)]!;
       if (!node.up) perform(model, { kind: 'restart', at: node.at });
@@ -287,6 +287,29 @@
     assert.ok(leaderOf(model) !== undefined, `seed ${seed}: no leader`);
   }
 });
+test('founders killed at any moment of their first start form one group', () => {
+  for (let seed = 1; seed <= 600 * effort; seed++) {
+    invariant.clear();
+    const pick = randomFrom(seed);
+    const size = seed % 4 === 0 ? 5 : 3;
+    const model = createModel(size, 0);
+    // A founder that is killed before its identity is on its disk has neither sent nor answered anything.
+    for (const node of model.nodes) if (seed % 3 === 0 || pick(2)) perform(model, { kind: 'wipe', at: node.at });
+    model.wipedIds.clear();
+    for (let i = 0; i < 120 && model.violations.length === 0; i++) {
+      const node = model.nodes[pick(size)]!;
+      if (!node.up) perform(model, { kind: 'restart', at: node.at });
+      else if (pick(12) === 0) perform(model, { kind: pick(2) ? 'crash' : 'crash-after-sync', at: node.at });
+      else if (node.write && pick(3)) perform(model, { kind: 'sync', at: node.at });
+      else if (pick(4) === 0) perform(model, { kind: 'time-out', at: node.at });
+      const packets = packetActions(model).filter(({ kind }) => kind === 'deliver' || pick(8) === 0);
+      if (packets.length) perform(model, packets[pick(packets.length)]!);
+    }
+    checkRecovers(model);
+    assert.equal(model.violations, [], `seed ${seed}`);
+    assert.ok(leaderOf(model) !== undefined, `seed ${seed}: no leader`);
+  }
+});
 test('three members and two spares in random orders', () => {
   for (let seed = 1; seed <= 400 * effort; seed++) walk(3, 2, seed, 300);
 });
--- a/packages/consensus/test/model.ts
+++ b/packages/consensus/test/model.ts
@@ -3,7 +3,7 @@
 // time.
 import { replica, defaultTiming } from '../src/replica.js';
 import { hasQuorum, isNewer, membersChanged } from '../src/quorum.js';
-import type { Effect, Event, Member, ReplicaState, ReplyMessage, RequestMessage } from '../src/types.js';
+import type { Effect, Event, Founding, Member, ReplicaState, ReplyMessage, RequestMessage } from '../src/types.js';
 import type { Snapshot, WriteEffect } from '../src/types.js';
 
 /** The replicated state of the model: the values of all changes that were applied. */
@@ -22,9 +22,11 @@
   timers: Event<Values>[];
   calls: Map<number, number>;
   nextCall: number;
+  /** The addresses that its machine is configured to join by: the founders, for a founder. */
+  seeds: string[];
+  /** As its disk has them. */
   founders: string[];
-  /** It has not run before with its present disk. */
-  firstLife: boolean;
+  founding: Founding;
 };
 /** A request and its reply, on their way between two nodes. */
 type Packet = {
@@ -72,6 +74,9 @@
   | { kind: 'cut' | 'heal'; link: string }
   | { kind: 'add' | 'remove' | 'swap'; at: string; member: Member; other?: Member };
 
+/** Safety must not depend on the delay. */
+const timing = { ...defaultTiming, possibleFounderDelay: 0 };
+
 /** A deterministic random source that differs by node and by time. */
 const randomOf =
   (node: Node) =>
@@ -205,6 +210,10 @@
       return onReadOutcome(model, effect);
     case 'timer':
       return void node.timers.push(effect.event);
+    case 'forget-founders':
+      // A crash may come before this write is synced.
+      if (randomOf(node)(2)) Object.assign(node, { founders: [], founding: 'none' });
+      return;
     case 'refuse':
     case 'log':
   }
@@ -237,9 +246,9 @@
     id: node.id,
     at: node.at,
     founders: node.founders,
-    firstLife: node.firstLife,
+    founding: node.founding,
     initial: [],
-    timing: defaultTiming,
+    timing,
     term: node.disk.term,
     accepted: node.disk.accepted,
     now: node.clock,
@@ -248,7 +257,6 @@
 };
 
 const stopNode = (node: Node): void => {
-  node.firstLife = false;
   node.up = false;
   node.state = undefined;
   node.write = undefined;
@@ -310,9 +318,9 @@
   stopNode(node);
   node.id = `${node.id}'`;
   node.disk = { term: 0 };
-  node.firstLife = true;
-  // A machine is configured with the founders only at its first start, or while the group is not formed yet.
-  if (model.chosenVersions.length > 0) node.founders = [];
+  // Its machine can't tell whether it was killed in the first start or has lost its disk.
+  node.founders = node.seeds;
+  node.founding = node.seeds.length ? 'possible' : 'none';
 };
 
 const performNode = (model: Model, action: Action & { at: string }): void => {
@@ -480,8 +488,9 @@
   timers: [],
   calls: new Map(),
   nextCall: 1,
+  seeds: founders,
   founders,
-  firstLife: true,
+  founding: founders.length ? 'certain' : 'none',
 });
 
 /** Starts a group of founders and some spare nodes that belong to no group. */
--- a/programs/thornsail/src/command-line.ts
+++ b/programs/thornsail/src/command-line.ts
@@ -23,7 +23,7 @@
     'version'
   ] ?? '0';
 
-const listKeys = new Set(['seeds', 'founders']);
+const listKeys = new Set(['seeds', 'founders', 'possibleFounders']);
 const numberKeys = new Set(['beatMs', 'tolerates', 'leastStores']);
 /** Converts the text of a flag to the type of its key; a text that is not a number is left for the check to report. */
 const parseFlag = (key: string, value: unknown): unknown => {
@@ -48,6 +48,7 @@
   name: 'name of this node',
   data: 'data folder',
   founders: 'the addresses of the three first coordinators (coordinators only)',
+  possibleFounders: 'at a later start: the founders, if no group was ever formed (coordinators only)',
   platform: 'address of the platform',
   agent: 'address of the agent on the same machine',
   beatMs: 'milliseconds between two heartbeats',
--- a/programs/thornsail/src/roles.ts
+++ b/programs/thornsail/src/roles.ts
@@ -197,6 +197,7 @@
       rpc: transport,
       durable,
       founders: options.founders,
+      possibleFounders: options.possibleFounders,
       onCommit: (version) => {
         lastCommitted = version;
         publish(version);
@@ -240,6 +241,7 @@
       coordinators: options.founders,
     });
     opened.membership = member;
+    member.onState(() => coreNode.consensus.noteGroupExists());
     if (lastCommitted) publish(lastCommitted);
     const registerClient = registers.open({
       runtime,
--- a/tools/simulation/test/upgrade-disks.test.ts
+++ b/tools/simulation/test/upgrade-disks.test.ts
@@ -46,7 +46,7 @@
       beatMs: 200,
     };
     if (machine.role === 'store') void roles.store(runtime, options);
-    else void roles.coordinator(runtime, { ...options, founders, tolerates: 1, leastStores: 0 });
+    else void roles.coordinator(runtime, { ...options, founders, possibleFounders: [], tolerates: 1, leastStores: 0 });
   }
   return simulation.runtime(simulation.host('127.181.9.9', 'z1'));
 };
