A process waits for the addresses of a predecessor that still shuts down

Callers saw processes that ended with status 1 at their start, EADDRINUSE, again at each start until the predecessor had ended (seen on: each of 8 successors, and agent and gateway up to 15 times in 7 s).

Cause: a listener bound its address once. Kin: a successor that binds before the predecessor's last write has ended could read an old document, or have its own replaced by it, and both name their temporary files alike. A closing coordinator or store refuses further writes now, as a full disk does, waits for those that run, and only then releases its address; the successor binds that address before it opens its disk. An error of a bound listener is logged; it was dropped.

--- a/packages/durable-files/src/durable-store.ts
+++ b/packages/durable-files/src/durable-store.ts
@@ -21,6 +21,8 @@
   counts: () => { syncs: number; torn: number };
   /** The folder, for data other than documents. Rejects every write after a failed one (guarded-disk.ts). */
   disk: Disk;
+  /** Refuses further writes; resolves once nothing of this process can change the folder any more. */
+  close: () => Promise<void>;
   /** Counts corruption that was found in files other than documents. */
   reportCorruption: () => void;
 };
@@ -114,6 +116,7 @@
     erase: eraser(disk, versions, write),
     counts: () => ({ ...counters }),
     disk,
+    close: disk.close,
     reportCorruption: () => void (counters.torn += 1),
   };
 };
--- a/packages/runtime/src/frames.ts
+++ b/packages/runtime/src/frames.ts
@@ -4,7 +4,7 @@
  */
 import net from 'node:net';
 import { address, type Address } from './address.js';
-import { fault } from './fault.js';
+import { bindListener, type BindOptions } from './listener.js';
 import type { FrameTransport, Net } from './net.js';
 
 /** A longer frame closes its connection. */
@@ -21,6 +21,7 @@
 const connectTimeoutMs = 2_000;
 
 type FrameListener = Parameters<Net['openFrameTransport']>[1];
+type DisconnectListener = Parameters<Net['openFrameTransport']>[2];
 type ProtocolErrorListener = Parameters<Net['openFrameTransport']>[3];
 
 /** Splits a byte stream into frames. Stops at the first invalid one, for which `onFrame` returns false. */
@@ -111,48 +112,45 @@
 };
 
 /** Opens the frame transport of one address (§3.1). Rejects with step `frames.bind` if the address can't be bound. */
-export const openFrameTransport: Net['openFrameTransport'] = (bindAddress, onFrame, onDisconnect, onProtocolError) =>
-  new Promise((resolve, reject) => {
-    const outgoing = new Map<Address, net.Socket>();
-    const incoming = new Set<net.Socket>();
-    const write = frameWriter();
-    let self: Address = bindAddress;
-    let closing = false;
-    const server = net.createServer((socket) => {
-      incoming.add(socket);
-      receive(socket, onFrame, onProtocolError);
-      socket.on('close', () => incoming.delete(socket));
+export const openFrameTransport = async (
+  bindAddress: Address,
+  onFrame: FrameListener,
+  onDisconnect: DisconnectListener,
+  onProtocolError: ProtocolErrorListener,
+  binding: BindOptions,
+): Promise<FrameTransport> => {
+  const outgoing = new Map<Address, net.Socket>();
+  const incoming = new Set<net.Socket>();
+  const write = frameWriter();
+  let closing = false;
+  const server = net.createServer((socket) => {
+    incoming.add(socket);
+    receive(socket, onFrame, onProtocolError);
+    socket.on('close', () => incoming.delete(socket));
+  });
+  server.maxConnections = maxIncomingConnections;
+  const self = await bindListener(server, bindAddress, 'frames', binding);
+  const connect = (peer: Address): net.Socket => {
+    const socket = connectTo(peer, self, (closed) => {
+      if (outgoing.get(peer) === closed) outgoing.delete(peer);
+      if (!closing) onDisconnect?.(peer);
     });
-    server.maxConnections = maxIncomingConnections;
-    const connect = (peer: Address): net.Socket => {
-      const socket = connectTo(peer, self, (closed) => {
-        if (outgoing.get(peer) === closed) outgoing.delete(peer);
-        if (!closing) onDisconnect?.(peer);
-      });
-      outgoing.set(peer, socket);
-      write(socket, self);
-      return socket;
-    };
-    const send: FrameTransport['send'] = (peer, text) => {
-      const existing = outgoing.get(peer);
-      const socket = !existing || existing.destroyed ? connect(peer) : existing;
-      if (socket.writableLength < maxBufferedBytes) write(socket, text);
-    };
-    server.on('error', (error) => reject(fault.make({ step: 'frames.bind', peer: bindAddress }, error.message, error)));
-    server.listen(address.port(bindAddress), address.host(bindAddress), () => {
-      const bound = server.address() as net.AddressInfo;
-      self = `${bound.address}:${bound.port}`;
-      resolve({
-        at: self,
-        send,
-        close: () =>
-          new Promise((closed) => {
-            closing = true;
-            // Flushes the frames written in this turn of the event loop.
-            for (const socket of outgoing.values()) socket.uncork();
-            for (const socket of [...outgoing.values(), ...incoming]) socket.destroy();
-            server.close(() => closed());
-          }),
-      });
+    outgoing.set(peer, socket);
+    write(socket, self);
+    return socket;
+  };
+  const send: FrameTransport['send'] = (peer, text) => {
+    const existing = outgoing.get(peer);
+    const socket = !existing || existing.destroyed ? connect(peer) : existing;
+    if (socket.writableLength < maxBufferedBytes) write(socket, text);
+  };
+  const close = (): Promise<void> =>
+    new Promise((closed) => {
+      closing = true;
+      // Flushes the frames written in this turn of the event loop.
+      for (const socket of outgoing.values()) socket.uncork();
+      for (const socket of [...outgoing.values(), ...incoming]) socket.destroy();
+      server.close(() => closed());
     });
-  });
+  return { at: self, send, close };
+};
--- a/packages/runtime/src/real.ts
+++ b/packages/runtime/src/real.ts
@@ -7,9 +7,12 @@
 import { openFrameTransport } from './frames.js';
 import { sendRequest } from './http-client.js';
 import { openLogOutput, type LogOutput } from './log-output.js';
-import { requestListener, serveHttp, unsentResponseBytes } from './http-server.js';
+import { requestListener, serveHttp } from './http-server.js';
+import type { BindOptions } from './listener.js';
+import { unsentResponseBytes } from './open-responses.js';
 import { processUsage } from './process-usage.js';
 import type { Clock } from './clock.js';
+import type { Microseconds } from './duration.js';
 import type { Random } from './random.js';
 import type { Log, Runtime } from './runtime.js';
 
@@ -61,17 +64,24 @@
   return standardError;
 };
 
+const bindOptions = (addressWait: Microseconds): BindOptions => ({ waitMs: addressWait / 1000, log: logOf('listen') });
+
 /** The production implementation of the runtime. */
 export const real = {
   requestListener,
-  /** Creates the runtime of a process with its data in `folder`. */
-  runtime: (folder: string): Runtime => ({
+  /**
+   * Creates the runtime of a process with its data in `folder`.
+   * @param addressWait how long a listener waits for an address that a predecessor still uses; by default it fails at
+   * once
+   */
+  runtime: (folder: string, { addressWait = 0 }: { addressWait?: Microseconds } = {}): Runtime => ({
     clock,
     rand,
     disk: openDataFolder(folder),
     net: {
-      openFrameTransport: openFrameTransport,
-      serveHttp: serveHttp,
+      openFrameTransport: (at, onFrame, onDisconnect, onProtocolError) =>
+        openFrameTransport(at, onFrame, onDisconnect, onProtocolError, bindOptions(addressWait)),
+      serveHttp: (at, handler, limits) => serveHttp(at, handler, limits, bindOptions(addressWait)),
       request: sendRequest,
       connectHttp: connectHttp,
     },
--- a/programs/thornsail/src/command-line.ts
+++ b/programs/thornsail/src/command-line.ts
@@ -5,7 +5,7 @@
 import { defineCommand, renderUsage, runCommand, type ArgsDef, type CommandDef } from 'citty';
 import { configSchema, deprecatedNames, type Role } from '@thornsail/config-schema';
 import { queryShell } from '@thornsail/query-shell';
-import { fault, real, type Runtime } from '@thornsail/runtime';
+import { duration, fault, real, type Runtime } from '@thornsail/runtime';
 import { signals, type DaemonSignal } from '@thornsail/runtime/signals';
 import { currentCommandLine } from './deprecated-names.js';
 import { daemonProcess } from './daemon-process.js';
@@ -94,6 +94,8 @@
   });
 };
 
+/** How long a daemon waits for addresses that its predecessor still uses. */
+const addressWait = duration.s(10);
 const run = async (role: Role, options: { data?: string }): Promise<void> => {
   const daemon = daemonProcess.open(err);
   daemon.endAtUnhandledErrors();
@@ -102,7 +104,7 @@
     signals.on(signal, () => daemon.endInOrder(`${signal} while it started`));
   signals.on('SIGHUP', () => err('SIGHUP: settings are read at the start only; this node runs on'));
   real.enableDefaultLogs();
-  const runtime = real.runtime(options.data ?? '/nonexistent');
+  const runtime = real.runtime(options.data ?? '/nonexistent', { addressWait });
   const node = await (roles[role] as (runtime: Runtime, options: never) => Promise<Node>)(runtime, options as never);
   out(`${role} listens at http ${node.http}, siblings ${node.place}`);
   if (role === 'gateway') void warmUpGateway(runtime, node);
--- a/programs/thornsail/src/roles.ts
+++ b/programs/thornsail/src/roles.ts
@@ -87,6 +87,8 @@
   replaced?: () => Promise<void>;
   http: Address;
   stop: () => void;
+  /** Resolves once nothing changes the node's data any more. */
+  closeData?: () => Promise<void>;
   onFailed?: Node['onFailed'];
   callers?: HttpHandler;
   dataPlane?: DataPlane;
@@ -157,6 +159,8 @@
     close: async () => {
       parts.stop();
       parts.membership.close();
+      // A successor takes the data over as soon as it can bind the address of this node.
+      await parts.closeData?.();
       await Promise.all([http.close(), parts.rpc.close()]);
     },
   };
@@ -276,6 +280,7 @@
       drain: () => Promise.resolve(),
       replaced: () => untilReplaced(runtime, member, 'coordinator', () => member.snapshot()?.members ?? []),
       stop: () => coreNode.close(),
+      closeData: durable.close,
       onFailed: disk.onFailed,
     });
   },
@@ -348,6 +353,7 @@
       drain: () => Promise.resolve(),
       replaced: () => untilReplaced(runtime, member, 'store', () => member.state()?.storeGroup.members ?? []),
       stop: stopSweep,
+      closeData: durable.close,
       onFailed: disk.onFailed,
     });
   },
