Answers that clients leave unread take memory from a budget

Callers' gateways were killed by the platform: 80 clients that leave answers of 4 MB unread took one to 425 MB, where MemoryMb is 310 (on, 8 s).

Cause: the answer of a worker was read whole, up to 8 MB for each request, and held until its client had read it. An answer with a length is read into its buffer directly; it was joined anew at its end.

--- /dev/null
+++ b/packages/data-plane/src/forward/answer-body.ts
@@ -0,0 +1,71 @@
+/**
+ * The body of a worker's response that is not a stream, which is held as a whole. Memory for a large one is taken from
+ * the gateway's budget before it is read; until then its worker is held up by flow control.
+ */
+import type { HttpResponseWriter, Reservation } from '@thornsail/runtime';
+
+/** Larger bodies take memory from the budget; the smaller ones are bounded by the requests in progress. */
+const smallBodyBytes = 64 << 10;
+
+/** A body in the course of being received. */
+export type AnswerBody = {
+  /** Adds the next bytes; false: the body is too large. */
+  push: (bytes: Uint8Array) => boolean;
+  /** The whole body. */
+  bytes: () => Buffer;
+  /** Gives its memory back. */
+  release: () => void;
+};
+
+/** Opens the body of a response. */
+export const answerBody = {
+  open: (options: {
+    /** The value of Content-Length; undefined without one. */
+    declaredLength: number | undefined;
+    maxLength: number;
+    client: HttpResponseWriter;
+    /** Holds the worker up. */
+    pause: () => void;
+    resume: () => void;
+  }): AnswerBody => {
+    const { declaredLength, maxLength, client } = options;
+    const chunks: Uint8Array[] = [];
+    let whole: Buffer | undefined;
+    let length = 0;
+    let reservation: Reservation | undefined;
+    const reserve = (size: number): void => {
+      if (!client.reserve) return;
+      let paused = false;
+      let reserved = false;
+      reservation = client.reserve(size, () => {
+        reserved = true;
+        if (paused) options.resume();
+      });
+      if (reserved) return;
+      paused = true;
+      options.pause();
+    };
+    if (declaredLength !== undefined && declaredLength > smallBodyBytes && declaredLength <= maxLength)
+      reserve(declaredLength);
+    return {
+      push: (bytes) => {
+        const start = length;
+        length += bytes.length;
+        if (Math.max(length, declaredLength ?? 0) > maxLength) return false;
+        if (declaredLength === undefined) {
+          chunks.push(bytes);
+          if (!reservation && length > smallBodyBytes) reserve(maxLength);
+        } else {
+          whole ??= Buffer.allocUnsafeSlow(declaredLength);
+          whole.set(bytes.subarray(0, declaredLength - start), start);
+        }
+        return true;
+      },
+      bytes: () => {
+        reservation?.shrinkTo(length);
+        return whole?.subarray(0, length) ?? Buffer.concat(chunks);
+      },
+      release: () => reservation?.release(),
+    };
+  },
+};
--- a/packages/data-plane/src/forward/exchange.ts
+++ b/packages/data-plane/src/forward/exchange.ts
@@ -10,6 +10,7 @@
   type Runtime,
   type Microseconds,
 } from '@thornsail/runtime';
+import { answerBody, type AnswerBody } from './answer-body.js';
 import type { Lease } from './connections.js';
 import type { Dialect, WorkerResponseHead } from './dialect.js';
 import { events, type StreamEvent } from './events.js';
@@ -26,7 +27,15 @@
   | { type: 'lost'; why: string }
   | { type: 'cut'; why: string }
   | { type: 'gone' }
-  | { type: 'answer'; status: number; headers: string[]; body: Buffer; load: WorkerResponseHead['load'] }
+  | {
+      type: 'answer';
+      status: number;
+      headers: string[];
+      body: Buffer;
+      /** Gives the memory of the body back. */
+      release: () => void;
+      load: WorkerResponseHead['load'];
+    }
   | { type: 'streamed'; rest: Uint8Array };
 
 /** Receives a stream for the caller. The head is passed with the first event. */
@@ -66,13 +75,13 @@
       let over = false;
       let streaming = false;
       let response: { status: number; rawHeaders: readonly string[]; head: WorkerResponseHead } | undefined;
-      let size = 0;
-      const chunks: Uint8Array[] = [];
+      let body: AnswerBody | undefined;
       const reader = events.reader();
       const finish = (outcome: Outcome, reusable: boolean): void => {
         if (over) return;
         over = true;
         stopTimer();
+        if (outcome.type !== 'answer') body?.release();
         if (reusable) lease.done(response?.head.keepAlive ?? null);
         else {
           lease.discard();
@@ -86,12 +95,21 @@
           false,
         );
       const stopTimer = runtime.clock.schedule(options.left + overrun, () => fail('the deadline passed'));
+      const openBody = (contentLength: string | undefined): AnswerBody =>
+        answerBody.open({
+          declaredLength: contentLength === undefined ? undefined : Number(contentLength),
+          maxLength: options.maxBodySize,
+          client: options.client,
+          pause: () => control?.pause(),
+          resume: () => control?.resume(),
+        });
       const onHead = (status: number, headers: Record<string, string>, rawHeaders: readonly string[]): void => {
         const head = dialect.responseHead(plan, status, headers);
         if (!head.matchesAttempt) return fail('the response names another attempt');
         if (head.unsound) return fail('the response lacks a required header or has a content encoding');
         response = { status, rawHeaders, head };
         streaming = false;
+        if (!isStream()) body = openBody(headers['content-length']);
       };
       const onEvents = (bytes: Uint8Array): void => {
         for (const event of reader.push(bytes)) {
@@ -109,9 +127,7 @@
       const onData = (bytes: Uint8Array): void => {
         if (over || !response) return;
         if (isStream()) return onEvents(bytes);
-        size += bytes.length;
-        if (size > options.maxBodySize) return fail('the response is too large');
-        chunks.push(bytes);
+        if (body && !body.push(bytes)) fail('the response is too large');
       };
       const onEnd = (): void => {
         if (!response) return fail('the connection ended without a response head');
@@ -130,7 +146,8 @@
             type: 'answer',
             status: response.status,
             headers,
-            body: Buffer.concat(chunks),
+            body: body?.bytes() ?? Buffer.alloc(0),
+            release: () => body?.release(),
             load: response.head.load,
           },
           true,
--- a/packages/data-plane/src/forward/finish.ts
+++ b/packages/data-plane/src/forward/finish.ts
@@ -69,6 +69,7 @@
 ): Promise<'answered'> => {
   const { gateway, reservations, response } = request;
   const { status, headers, body } = answer;
+  response.onClose(answer.release);
   request.phases.transition('relay');
   request.timeline.enter('record');
   request.timeline.setOutcome(status < 400 ? 'served' : `worker_${status}`);
--- a/packages/data-plane/src/forward/response.ts
+++ b/packages/data-plane/src/forward/response.ts
@@ -37,6 +37,7 @@
       if (!expired) raw.writeHead(status, headers);
     },
     write: (chunk) => expired || raw.write(chunk),
+    ...(raw.reserve ? { reserve: raw.reserve } : {}),
     drained: () => (expired ? Promise.resolve() : raw.drained()),
     end: (chunk) => {
       ended = true;
--- a/packages/runtime/src/body-reader.ts
+++ b/packages/runtime/src/body-reader.ts
@@ -1,6 +1,6 @@
 /** Reads the body of a request into memory that is taken from a budget before the body is read. */
 import type http from 'node:http';
-import type { BodyBudget, BodyMemory } from './body-budget.js';
+import type { MemoryBudget, Reservation } from './memory-budget.js';
 
 /** A request that holds memory is aborted if nothing of its body arrives for this long. */
 const idleTimeoutMs = 5_000;
@@ -12,7 +12,7 @@
 /** A body; `bytes` is empty if it was larger than the limit. */
 export type ReceivedBody = { bytes: Buffer; tooLarge: boolean };
 /** What a body is read with: the largest size, and the memory to take. */
-export type BodyLimits = { limit: number; budget: BodyBudget };
+export type BodyLimits = { limit: number; budget: MemoryBudget };
 
 const declaredSize = (request: http.IncomingMessage): number | undefined => {
   const text = request.headers['content-length'];
@@ -32,7 +32,7 @@
   const declared = declaredSize(request);
   let size = 0;
   let tooLarge = declared !== undefined && declared > limit;
-  let memory: BodyMemory | undefined;
+  let memory: Reservation | undefined;
   let idleTimer: NodeJS.Timeout | undefined;
   const release = (): void => {
     clearTimeout(idleTimer);
--- a/packages/runtime/src/http-server.ts
+++ b/packages/runtime/src/http-server.ts
@@ -6,11 +6,11 @@
 import polka from 'polka';
 import { flatHeaders } from './headers.js';
 import type { Address } from './address.js';
-import { openBodyBudget, type BodyBudget } from './body-budget.js';
+import { openMemoryBudget, type MemoryBudget } from './memory-budget.js';
 import { readBody, smallBodyBytes } from './body-reader.js';
 import type { HttpRequest, HttpHandler, HttpLimits, HttpServer } from './http.js';
 import { bindListener, type BindOptions } from './listener.js';
-import { openServers, trackResponses } from './open-responses.js';
+import { openServers, trackResponses, type OpenResponses } from './open-responses.js';
 import { responseWriter } from './response-writer.js';
 
 /** A request listener of Node's HTTP server or middleware of polka. */
@@ -46,14 +46,23 @@
 };
 /** Connections of a server that sets no limit of its own; further ones are closed, so that descriptors are left. */
 const defaultMaxConnections = 500;
-/** Memory for the bodies of all requests in progress at a server that sets no limit of its own, in bytes. */
-const defaultBodyMemory = 64 << 20;
+/** Memory for the bodies of all requests, or of all responses, at a server that sets no limit of its own, in bytes. */
+const defaultMemory = 64 << 20;
+/** The memory of a server for the bodies of its requests and of its responses. */
+type ServerMemory = { requests: MemoryBudget; responses: MemoryBudget };
+const openServerMemory = ({
+  bodyMemory = defaultMemory,
+  responseMemory = defaultMemory,
+}: Partial<HttpLimits>): ServerMemory => ({
+  requests: openMemoryBudget(bodyMemory, smallBodyBytes),
+  responses: openMemoryBudget(responseMemory, smallBodyBytes),
+});
 /**
  * Creates a request listener that buffers each request and passes it to `handler`. If the handler rejects, the response
  * is aborted.
  * @param maxBodyBytes a longer body is discarded and the request marked `bodyTooLarge`, and a body over four times as
  * long closes the connection
- * @param budget the memory for the bodies of all requests in progress
+ * @param memory the memory for the bodies of all requests in progress, and of their responses
  * @param handles whether a path is served here; for any other path `next` is called, if given
  */
 export const requestListener =
@@ -61,10 +70,10 @@
     handler: HttpHandler,
     maxBodyBytes: number | (() => number),
     handles: (path: string) => boolean = () => true,
-    budget: BodyBudget = openBodyBudget(defaultBodyMemory, smallBodyBytes),
+    memory: ServerMemory = openServerMemory({}),
   ): RequestListener =>
   (request, response, next) => {
-    const writer = responseWriter(request, response);
+    const writer = responseWriter(request, response, memory.responses);
     // A write that fails ends its response only.
     response.on('error', () => writer.abort());
     const url = parseUrl(request);
@@ -75,7 +84,7 @@
     }
     if (next && !handles(url.pathname)) return next();
     const limit = typeof maxBodyBytes === 'number' ? maxBodyBytes : maxBodyBytes();
-    const release = readBody(request, { limit, budget }, ({ bytes, tooLarge }) => {
+    const release = readBody(request, { limit, budget: memory.requests }, ({ bytes, tooLarge }) => {
       Promise.resolve()
         .then(() => handler(toHttpRequest(request, url, bytes, tooLarge), writer))
         .catch(() => writer.abort())
@@ -101,6 +110,17 @@
   return () => clearInterval(timer);
 };
 
+/** While memory for responses is short, one of which the client has taken nothing for this long is broken off. */
+const stallTimeoutMs = 1_000;
+const stallCheckIntervalMs = 250;
+const abortStalledResponses = (responses: OpenResponses, memory: MemoryBudget): (() => void) => {
+  const timer = setInterval(() => {
+    if (memory.counts().waiting > 0) responses.abortStalled(stallTimeoutMs);
+  }, stallCheckIntervalMs);
+  timer.unref();
+  return () => clearInterval(timer);
+};
+
 /**
  * Serves HTTP at an address. `close` first flushes responses that were ended, then closes idle connections, and
  * resolves once all connections are closed. Rejects with step `http.bind` if the address can't be bound.
@@ -118,12 +138,8 @@
   server.maxConnections = httpLimits.maxConnections ?? defaultMaxConnections;
   const responses = trackResponses();
   server.on('request', (_, response) => responses.add(response));
-  const listen = requestListener(
-    handler,
-    httpLimits.maxBodyBytes,
-    undefined,
-    openBodyBudget(httpLimits.bodyMemory ?? defaultBodyMemory, smallBodyBytes),
-  );
+  const memory = openServerMemory(httpLimits);
+  const listen = requestListener(handler, httpLimits.maxBodyBytes, undefined, memory);
   const app = polka({
     server,
     onError: (_error, _request, response) => void response.destroy(),
@@ -132,11 +148,13 @@
   server.on('request', (request, response) => app.handler(request as polka.Request, response));
   const at = await bindListener(server, bindAddress, 'http', binding);
   const stopLimits = applyLimits(server, httpLimits);
+  const stopAborting = abortStalledResponses(responses, memory.responses);
   openServers.add(responses);
   return {
     at,
     close: async () => {
       stopLimits();
+      stopAborting();
       openServers.delete(responses);
       // Node treats a connection as idle and destroys it once its response is ended, even if not yet written out.
       await responses.flushed();
--- a/packages/runtime/src/http.ts
+++ b/packages/runtime/src/http.ts
@@ -1,6 +1,7 @@
 /** HTTP types shared by the server and the client of a process (§2.1). */
 import type { Address } from './address.js';
 import type { Microseconds } from './duration.js';
+import type { Reservation } from './memory-budget.js';
 
 /** A request received by the server, with its complete body. */
 export type HttpRequest = {
@@ -30,6 +31,11 @@
   end: (chunk?: string | Uint8Array) => void;
   /** Aborts the response such that it can't look complete to the client (§5.6). */
   abort: () => void;
+  /**
+   * Takes memory for a body of this response before it is read from elsewhere; `onReserved` is called at once, or when
+   * other responses have given enough back. The caller releases it. Absent in the simulator.
+   */
+  reserve?: (bytes: number, onReserved: () => void) => Reservation;
   /** Whether the client has disconnected or the response is finished. */
   isClosed: () => boolean;
   /** Calls `callback` once when the response is closed; immediately if it is closed already. */
@@ -71,6 +77,8 @@
   maxBodyBytes: () => number;
   /** Memory for the bodies of all requests in progress, in bytes. Fixed when the server starts. */
   bodyMemory?: number;
+  /** Memory for the bodies of all responses that were reserved, in bytes. Fixed when the server starts. */
+  responseMemory?: number;
   /** Connections at a time; further ones are closed. Fixed when the server starts. */
   maxConnections?: number;
   /** Fixed when the server starts. */
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -18,6 +18,7 @@
   type HttpResponseWriter,
   type HttpServer,
 } from './http.js';
+export type { Reservation } from './memory-budget.js';
 export type { RequestListener } from './http-server.js';
 export { invariant } from './invariant.js';
 export { lock, type Lock } from './lock.js';
--- a/packages/runtime/src/body-budget.ts
+++ b/packages/runtime/src/memory-budget.ts
@@ -1,20 +1,21 @@
 /**
- * Memory for request bodies, shared by the requests of a server. A request takes memory for its whole body before any
- * of it is read, and waits, unread, while there is none left: its client is held up by flow control.
+ * Memory for bodies, shared by the requests of a server: one budget for the bodies of requests, one for those of
+ * responses. Memory for a whole body is taken before any of it is read. While there is none left, the body waits,
+ * unread: its sender is held up by flow control.
  */
 
-/** Memory that a request has taken. */
-export type BodyMemory = {
+/** Memory that was taken, or waits to be. */
+export type Reservation = {
   /** Gives back what is beyond `bytes`, once the size of the body is known. */
   shrinkTo: (bytes: number) => void;
   /** Gives it back, or stops waiting for it. Only the first call has an effect. */
   release: () => void;
 };
-/** The memory for bodies of one server. */
-export type BodyBudget = {
+/** The memory for one kind of bodies of a server. */
+export type MemoryBudget = {
   /** Takes `bytes` and calls `onTaken`: at once, or when earlier requests have given enough back, in their order. */
-  take: (bytes: number, onTaken: () => void) => BodyMemory;
-  /** Bytes that are taken, and the requests that wait. */
+  take: (bytes: number, onTaken: () => void) => Reservation;
+  /** Bytes that are taken, and the bodies that wait. */
   counts: () => { taken: number; waiting: number };
 };
 
@@ -24,7 +25,7 @@
  * Opens a budget of `limit` bytes. A body larger than the limit is taken alone. Bodies up to `smallBody` bytes take no
  * memory from the budget: their number is bounded by the requests in progress.
  */
-export const openBodyBudget = (limit: number, smallBody: number): BodyBudget => {
+export const openMemoryBudget = (limit: number, smallBody: number): MemoryBudget => {
   const queue: Waiter[] = [];
   let taken = 0;
   const fits = (bytes: number): boolean => taken === 0 || taken + bytes <= limit;
@@ -35,7 +36,7 @@
       onTaken();
     }
   };
-  const take: BodyBudget['take'] = (bytes, onTaken) => {
+  const take: MemoryBudget['take'] = (bytes, onTaken) => {
     if (bytes <= smallBody) {
       onTaken();
       return { shrinkTo: () => undefined, release: () => undefined };
--- a/packages/runtime/src/open-responses.ts
+++ b/packages/runtime/src/open-responses.ts
@@ -1,5 +1,6 @@
 /** The responses of HTTP servers that are not closed yet. */
 import type http from 'node:http';
+import { isEnding, isStalled, unsentBytesOf } from './response-sender.js';
 
 /** Longest time that `close` waits for clients that read their response slowly (§5.6), in microseconds. */
 const flushTimeout = 5_000_000;
@@ -8,6 +9,8 @@
   add: (response: http.ServerResponse) => void;
   /** Resolves once every ended response is handed to the operating system or has failed, or after `flushTimeout`. */
   flushed: () => Promise<void>;
+  /** Breaks off the responses of which the client has taken nothing for this many milliseconds. */
+  abortStalled: (milliseconds: number) => void;
   /** Bytes that are written and not yet handed to the operating system. */
   unsentBytes: () => number;
 };
@@ -24,7 +27,7 @@
       response.once('close', () => void open.delete(response));
     },
     flushed: async () => {
-      const unsent = [...open].filter((response) => response.writableEnded && !response.writableFinished);
+      const unsent = [...open].filter((response) => isEnding(response) && !response.writableFinished);
       if (!unsent.length) return;
       let timer: NodeJS.Timeout | undefined;
       const timeout = new Promise<void>((resolve) => {
@@ -33,9 +36,12 @@
       await Promise.race([Promise.all(unsent.map(whenClosed)), timeout]);
       clearTimeout(timer);
     },
+    abortStalled: (milliseconds) => {
+      for (const response of open) if (isStalled(response, milliseconds)) response.destroy();
+    },
     unsentBytes: () => {
       let bytes = 0;
-      for (const response of open) bytes += response.writableLength;
+      for (const response of open) bytes += unsentBytesOf(response);
       return bytes;
     },
   };
--- a/packages/runtime/src/response-writer.ts
+++ b/packages/runtime/src/response-writer.ts
@@ -3,6 +3,8 @@
 import type net from 'node:net';
 import type { Cancel } from './clock.js';
 import type { HttpResponseWriter } from './http.js';
+import type { MemoryBudget } from './memory-budget.js';
+import { endResponse } from './response-sender.js';
 
 /** The close callbacks of each socket. */
 const closeListeners = new WeakMap<net.Socket, Set<() => void>>();
@@ -48,7 +50,11 @@
   return names.some((name: string) => name.toLowerCase() === 'content-length');
 };
 /** The writer of the response to a request. */
-export const responseWriter = (request: http.IncomingMessage, response: http.ServerResponse): HttpResponseWriter => {
+export const responseWriter = (
+  request: http.IncomingMessage,
+  response: http.ServerResponse,
+  memory: MemoryBudget,
+): HttpResponseWriter => {
   const { isClosed, onClose } = closeNotifier(request, response);
   let hasContentLength = false;
   return {
@@ -63,7 +69,8 @@
         response.once('drain', resolve);
         onClose(resolve);
       }),
-    end: (chunk) => void response.end(chunk),
+    reserve: memory.take,
+    end: (chunk) => endResponse(response, chunk),
     abort: () => {
       // A response that is delimited by the end of the connection looks complete unless the connection is reset.
       if (response.headersSent && !hasContentLength && !response.chunkedEncoding) response.socket?.resetAndDestroy();
--- a/packages/runtime/test/body-budget.test.ts
+++ b/packages/runtime/test/memory-budget.test.ts
@@ -1,10 +1,10 @@
 // Memory for request bodies: order, waiting, and giving back.
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { openBodyBudget } from '../src/body-budget.js';
+import { openMemoryBudget } from '../src/memory-budget.js';
 
 test('bodies take memory in their order, wait for it, and give it back once', () => {
-  const budget = openBodyBudget(100, 10);
+  const budget = openMemoryBudget(100, 10);
   const taken: string[] = [];
   const take = (name: string, bytes: number) => budget.take(bytes, () => void taken.push(name));
   const first = take('first', 60);
