Streams and texts from others are read up to a limit

Kin of the unread answers, found by looking for what is held until it is complete: an event of a stream that never ends, the output of a turn that is kept, and a text that is read as a whole (the list of workers, a worker's report) grew as long as their sender sent. They are broken off at 1 MB, 8 MB and 16 M characters now.

Nobody was seen to meet these.

--- a/packages/data-plane/src/forward/exchange.ts
+++ b/packages/data-plane/src/forward/exchange.ts
@@ -48,6 +48,8 @@
 
 /** A worker ends a request by itself at the deadline it was sent; the exchange is broken off this long after it. */
 const overrun = duration.ms(150);
+/** The largest event of a stream, in bytes: it is held until it is complete. */
+const maxEventBytes = 1 << 20;
 
 /** Runs exchanges with workers. */
 export const exchange = {
@@ -122,6 +124,7 @@
             void options.sink.drained().then(() => control?.resume());
           }
         }
+        if (reader.rest().length > maxEventBytes) fail('an event of the stream is too large');
       };
       const isStream = (): boolean => plan.route.semantics === 'stream' && response!.head.success;
       const onData = (bytes: Uint8Array): void => {
--- a/packages/data-plane/src/forward/send.ts
+++ b/packages/data-plane/src/forward/send.ts
@@ -10,7 +10,7 @@
 import { endsWithClient } from './plan.js';
 import { requests, type Request } from './request.js';
 
-/** In bytes, of a response that is not a stream. */
+/** In bytes, of a response that is not a stream, and of the output of a turn that is kept. */
 const maxResponseSize = 8 << 20;
 const minimumTimeToSend = duration.ms(1);
 /** Share of a worker's connection limit that all gateways together use. */
@@ -103,6 +103,10 @@
         }
         first = false;
         relay(event);
+        if (relayed.output.length > maxResponseSize) {
+          aborter.abort('the turn is too large to be kept');
+          return true;
+        }
       }
       return response.isClosed() || response.write(event.bytes);
     },
--- a/packages/runtime/src/http.ts
+++ b/packages/runtime/src/http.ts
@@ -1,6 +1,7 @@
 /** HTTP types shared by the server and the client of a process (§2.1). */
 import type { Address } from './address.js';
 import type { Microseconds } from './duration.js';
+import { fault } from './fault.js';
 import type { Reservation } from './memory-budget.js';
 
 /** A request received by the server, with its complete body. */
@@ -66,10 +67,19 @@
   abort: () => void;
 };
 
-/** Reads a body to its end. Rejects if the response is cut off. */
-export const readText = async (body: AsyncIterable<string>): Promise<string> => {
+/** Longest body that is read as a whole unless the caller allows another length, in characters. */
+const defaultMaxTextLength = 16 << 20;
+/** Reads a body to its end. Rejects if the response is cut off, and with code `too-large` if it is longer than this. */
+export const readText = async (
+  body: AsyncIterable<string>,
+  maxLength: number = defaultMaxTextLength,
+): Promise<string> => {
   let text = '';
-  for await (const chunk of body) text += chunk;
+  for await (const chunk of body) {
+    text += chunk;
+    if (text.length > maxLength)
+      throw fault.make({ step: 'http.body', code: 'too-large' }, `longer than ${maxLength} characters`);
+  }
   return text;
 };
 /** Limits of a server on its clients. Functions are evaluated again while the server runs. */
