--- a/packages/data-plane/src/warm-up/cluster.ts
+++ b/packages/data-plane/src/warm-up/cluster.ts
@@ -81,7 +81,7 @@
     withPrefix: (prefix) => (prefix === 'workers/' ? [{ name: 'workers/warm-up', item: item() }] : []),
     retain: () => undefined,
     onUpdate: () => undefined,
-    hasLeaves: () => false,
+    leaves: () => [],
     lastContact: now,
     refresh: () => Promise.resolve(true),
     counts: () => ({ pushed: 0, pulled: 0, relayed: 0 }),
--- a/packages/dissemination/src/dissemination.ts
+++ b/packages/dissemination/src/dissemination.ts
@@ -117,7 +117,7 @@
       withPrefix: store.withPrefix,
       retain: store.retain,
       onUpdate: (listener) => void listeners.push(listener),
-      hasLeaves: () => leaves.addresses().length > 0,
+      leaves: leaves.addresses,
       lastContact: () => lastContact,
       refresh: (peer, timeout = timing.exchangeTimeout) => compare(peer, timeout),
       counts: () => ({ ...counts }),
--- a/packages/dissemination/src/types.ts
+++ b/packages/dissemination/src/types.ts
@@ -61,8 +61,8 @@
   retain: (keep: (name: string) => boolean) => void;
   /** Registers a listener that is called with each update that this node stores. */
   onUpdate: (listener: (update: Update) => void) => void;
-  /** Whether a leaf is attached to this relay. */
-  hasLeaves: () => boolean;
+  /** The addresses of the leaves that are attached to this node. */
+  leaves: () => Address[];
   /** Returns the time of the last exchange of updates or digests with another node. */
   lastContact: () => Microseconds;
   /** Compares with the given peer immediately; resolves to true if the peer responded. Never rejects. */
