--- a/packages/consensus/src/group-formation.ts
+++ b/packages/consensus/src/group-formation.ts
@@ -43,7 +43,7 @@
   if (formerOf(discovery) !== state.at) return false;
   if (state.founding === 'certain') return true;
   const allPossible = discovery.found.every((member) => member.founding === 'possible');
-  return allPossible && now - state.startedAt >= state.timing.possibleFounderDelay;
+  return allPossible && now - state.quietSince >= state.timing.possibleFounderDelay;
 };
 
 const answerText = (member: Discovery['found'][number] | undefined): string => {
--- a/packages/consensus/src/group-signs.ts
+++ b/packages/consensus/src/group-signs.ts
@@ -3,7 +3,7 @@
 
 /**
  * Requests that show that a quorum of a group was formed. A pre-vote doesn't: the member that sends it may be the only
- * one that has formed.
+ * one that has formed. It restarts the delay, so that no group is formed beside members that are too few to elect.
  */
 const requestsOfGroups: ReadonlySet<RequestMessage<unknown>['kind']> = new Set([
   'append',
@@ -21,4 +21,5 @@
 /** Notes from a request whether a group exists. */
 export const noteRequest = <S>(step: Step<S>, kind: RequestMessage<S>['kind']): void => {
   if (requestsOfGroups.has(kind)) noteGroupExists(step);
+  if (kind === 'pre-vote') step.state.quietSince = step.now;
 };
--- a/packages/consensus/src/replica.ts
+++ b/packages/consensus/src/replica.ts
@@ -66,7 +66,7 @@
   const { accepted, timing, now, random, ...rest } = options;
   const state: ReplicaState<S> = {
     ...rest,
-    startedAt: now,
+    quietSince: now,
     timing,
     role: accepted ? 'follower' : 'unformed',
     term: Math.max(options.term, accepted?.term ?? 0),
--- a/packages/consensus/src/types.ts
+++ b/packages/consensus/src/types.ts
@@ -173,8 +173,8 @@
   founders: Address[];
   /** Whether this replica is one of the founders; without founders `none`. */
   founding: Founding;
-  /** When the process was started. */
-  startedAt: Microseconds;
+  /** When the process was started, or a member of a group last asked for a pre-vote. */
+  quietSince: Microseconds;
   initial: S;
   timing: Timing;
   role: Role;
--- a/packages/consensus/test/group-formation.test.ts
+++ b/packages/consensus/test/group-formation.test.ts
@@ -76,4 +76,12 @@
   }
   assert.not(step(open('certain'), { type: 'group-exists' }, 0).some((effect) => effect.type === 'forget-founders'));
 });
+test('possible founders form no group while members of one, too few to elect a leader, ask for pre-votes', () => {
+  const state = open('possible');
+  const answers = { [second]: reply('n2', 'possible'), [third]: reply('n3', 'possible') };
+  const preVote = { type: 'request', call: 1, from: second, message: { kind: 'pre-vote', term: 3 } } as const;
+  step(state, preVote, duration.s(2));
+  assert.not(forms(state, afterDelay, answers));
+  assert.ok(forms(state, duration.s(2) + afterDelay, answers));
+});
 test.run();
--- a/tools/simulation/src/guards/consensus.ts
+++ b/tools/simulation/src/guards/consensus.ts
@@ -256,6 +256,14 @@
     replacement: 'now',
     noticedBy: { test: 'consensus/test/group-formation.test.js' },
   }),
+  guard({
+    name: 'a pre-vote restarts the delay of possible founders',
+    rule: 'consensus',
+    file: 'consensus/src/group-signs.js',
+    find: 'step.state.quietSince = step.now;',
+    replacement: 'return;',
+    noticedBy: { test: 'consensus/test/group-formation.test.js' },
+  }),
   guard({
     name: 'a sign of an existing group keeps a possible founder from forming one',
     rule: 'consensus',
