A SIGTERM that comes while a process loads ends it before it opens its role

Its last line says 'SIGTERM 5080 ms ago' at an age of 11.1 s, while the soak had sent it at 0.5 s: the signal waited for some 5 s, and only then began a whole orderly shutdown.

Cause: signals are passed on when the event loop turns. It does not while the program loads, and a role without a disk can open without a turn as well; by then the handler of the running role has replaced the one that ends at once. What remains is the time that loading itself takes on such a machine.

--- a/packages/runtime/src/signals.ts
+++ b/packages/runtime/src/signals.ts
@@ -25,6 +25,14 @@
     handlers.set(signal, handler);
     if (waiting.delete(signal)) handler();
   },
+  /**
+   * Resolves once the signals that have come so far were passed to their handlers: the event loop has to turn for that,
+   * which it doesn't while modules load.
+   */
+  delivered: (): Promise<void> =>
+    new Promise((resolve) => {
+      setImmediate(resolve);
+    }),
   /** Gives all signals back to their default action, which is taken at once for one that has come already. */
   release: (): void => {
     for (const signal of daemonSignals) process.off(signal, receive);
--- a/programs/thornsail/src/command-line.ts
+++ b/programs/thornsail/src/command-line.ts
@@ -103,6 +103,7 @@
   for (const signal of ['SIGTERM', 'SIGINT'] as const)
     signals.on(signal, () => daemon.endInOrder(`${signal} while it started`));
   signals.on('SIGHUP', () => err('SIGHUP: settings are read at the start only; this node runs on'));
+  await signals.delivered();
   real.enableDefaultLogs();
   const runtime = real.runtime(options.data ?? '/nonexistent', { addressWait });
   const node = await (roles[role] as (runtime: Runtime, options: never) => Promise<Node>)(runtime, options as never);
