--- a/tools/simulation/src/guards/runtime.ts
+++ b/tools/simulation/src/guards/runtime.ts
@@ -40,7 +40,7 @@
   guard({
     name: 'a close callback added after the client has disconnected is called',
     rule: 'answers',
-    file: 'runtime/src/http-server.js',
+    file: 'runtime/src/response-writer.js',
     find: 'if (isClosed()) return callback();',
     replacement: '',
     noticedBy: { test: 'runtime/test/clients.test.js' },
@@ -48,7 +48,7 @@
   guard({
     name: 'a pipelined request is notified that its client has disconnected',
     rule: 'answers',
-    file: 'runtime/src/http-server.js',
+    file: 'runtime/src/response-writer.js',
     find: 'const unsubscribe = onSocketClose(socket, notify);',
     replacement: 'const unsubscribe = () => undefined;',
     noticedBy: { test: 'runtime/test/clients.test.js' },
@@ -56,7 +56,7 @@
   guard({
     name: 'an aborted response without a length resets its connection',
     rule: 'answers',
-    file: 'runtime/src/http-server.js',
+    file: 'runtime/src/response-writer.js',
     find: 'if (response.headersSent && !hasContentLength && !response.chunkedEncoding)',
     replacement: 'if (false)',
     noticedBy: { test: 'runtime/test/clients.test.js' },
