Logs and gauges that tell the hypotheses on endless responses apart

Two gauges count what HTTP clients receive: thornsail_http_client_received_bytes are all bytes, thornsail_http_client_content_bytes those that were content of responses, so that framing without content shows. No logic is changed.

--- a/packages/data-plane/src/admission/worker-capacity.ts
+++ b/packages/data-plane/src/admission/worker-capacity.ts
@@ -1,7 +1,7 @@
 /** KV-cache capacities of the model workers, from the list of workers or as reported by the workers (§4.2, §5.2). */
 import type { Worker } from '@thornsail/admission-scheduler';
 import { workerProtocol, type WorkerEntry } from '@thornsail/load-balancer';
-import { duration, readText, type Runtime } from '@thornsail/runtime';
+import { duration, fault, readText, type Runtime } from '@thornsail/runtime';
 
 /** The known capacities, in tokens. */
 export type WorkerCapacity = {
@@ -19,7 +19,10 @@
 export const workerCapacity = {
   /** `zone` is this gateway's own; empty if it has none. */
   open: (runtime: Runtime, zone: string): WorkerCapacity => {
+    const log = runtime.log('worker reports');
     const capacities = new Map<string, number>();
+    /** The workers whose last report could not be read. */
+    const failing = new Set<string>();
     const queryWorker = async (worker: WorkerEntry): Promise<void> => {
       try {
         const response = await runtime.net.request({
@@ -31,8 +34,11 @@
         });
         const capacity = workerProtocol.report.capacity(await readText(response.body));
         if (capacity !== undefined) capacities.set(worker.id, capacity);
-      } catch {
-        /* The last known capacity is kept. */
+        failing.delete(worker.id);
+      } catch (error) {
+        // The last known capacity is kept.
+        if (!failing.has(worker.id)) log(`the report of worker ${worker.id} can't be read: ${fault.text(error)}.`);
+        failing.add(worker.id);
       }
     };
     return {
--- a/packages/runtime/src/connection.ts
+++ b/packages/runtime/src/connection.ts
@@ -4,6 +4,7 @@
  */
 import type net from 'node:net';
 import { Client, type Dispatcher } from 'undici';
+import { countContent } from './client-traffic.js';
 import { connector } from './connector.js';
 import { flatHeaders } from './headers.js';
 import type { HttpConnection, ExchangeEvents } from './exchange.js';
@@ -41,6 +42,7 @@
       if (!done && status >= 200) events.onHead(status, flatHeaders(headers), rawHeadersOf(controller, headers));
     },
     onResponseData: (_controller, chunk) => {
+      countContent(chunk.length);
       if (!done) events.onData(chunk);
     },
     onResponseEnd: () => {
--- a/packages/runtime/src/connector.ts
+++ b/packages/runtime/src/connector.ts
@@ -1,6 +1,7 @@
 /** Opens sockets for undici clients, such that a connection reset never looks like a complete response (§5.8). */
 import type net from 'node:net';
 import { buildConnector } from 'undici';
+import { countSocket } from './client-traffic.js';
 
 /** Replaces the code ECONNRESET, which undici treats specially. */
 const resetCode = 'RESET_BY_PEER';
@@ -28,6 +29,7 @@
         const [, socket] = result;
         if (socket) {
           failOnReset(socket);
+          countSocket(socket);
           onSocket?.(socket);
         }
         callback(...result);
--- a/packages/runtime/src/http-client.ts
+++ b/packages/runtime/src/http-client.ts
@@ -1,5 +1,6 @@
 /** HTTP requests whose response body is read as text: between nodes, and to workers for chat turns and jobs (§5.4). */
 import { Agent, Client, request, type Dispatcher } from 'undici';
+import { countContent } from './client-traffic.js';
 import { connector } from './connector.js';
 import { flatHeaders } from './headers.js';
 import { duration, type Microseconds } from './duration.js';
@@ -42,6 +43,7 @@
     restartTimer();
     for await (const chunk of body) {
       clearTimeout(timer);
+      countContent((chunk as Uint8Array).length);
       yield decoder.decode(chunk as Uint8Array, { stream: true });
       restartTimer();
     }
--- a/packages/runtime/src/real.ts
+++ b/packages/runtime/src/real.ts
@@ -2,6 +2,7 @@
 import { randomFillSync } from 'node:crypto';
 import { format } from 'node:util';
 import debug from 'debug';
+import { clientTraffic } from './client-traffic.js';
 import { connectHttp } from './connection.js';
 import { openDataFolder } from './data-folder.js';
 import { openFrameTransport } from './frames.js';
@@ -88,6 +89,7 @@
     log: logOf,
     usage: () => ({
       ...processUsage(),
+      ...clientTraffic(),
       log_lines_dropped: standardError?.dropped() ?? 0,
       http_response_bytes_unsent: unsentResponseBytes(),
     }),
