Bodies that come in very many small pieces cost their bytes only, and are broken off

Cause: limits count bytes of content, while each piece was kept as an object, and each costs time whatever its size. Clients could do the same with request bodies.

Bodies are collected in one block of memory now, and more than 4096 pieces and one per 128 bytes are refused, of workers' responses as of clients' requests. An event that comes in pieces is joined once, not anew at each piece.

Fails before: runtime/test/clients (a body of 200000 one-byte chunks is taken), data-plane/test/answer-body (131072 pieces of 8 bytes are taken).

--- a/packages/data-plane/src/forward/answer-body.ts
+++ b/packages/data-plane/src/forward/answer-body.ts
@@ -2,14 +2,14 @@
  * The body of a worker's response that is not a stream, which is held as a whole. Memory for a large one is taken from
  * the gateway's budget before it is read; until then its worker is held up by flow control.
  */
-import type { HttpResponseWriter, Reservation } from '@thornsail/runtime';
+import { openByteCollector, type HttpResponseWriter, type Reservation } from '@thornsail/runtime';
 
 /** Larger bodies take memory from the budget; the smaller ones are bounded by the requests in progress. */
 const smallBodyBytes = 64 << 10;
 
 /** A body in the course of being received. */
 export type AnswerBody = {
-  /** Adds the next bytes; false: the body is too large. */
+  /** Adds the next bytes; false: the body is too large, or comes in too many pieces. */
   push: (bytes: Uint8Array) => boolean;
   /** The whole body. */
   bytes: () => Buffer;
@@ -29,9 +29,7 @@
     resume: () => void;
   }): AnswerBody => {
     const { declaredLength, maxLength, client } = options;
-    const chunks: Uint8Array[] = [];
-    let whole: Buffer | undefined;
-    let length = 0;
+    const received = openByteCollector({ declared: declaredLength, max: maxLength });
     let reservation: Reservation | undefined;
     const reserve = (size: number): void => {
       if (!client.reserve) return;
@@ -49,21 +47,15 @@
       reserve(declaredLength);
     return {
       push: (bytes) => {
-        const start = length;
-        length += bytes.length;
-        if (Math.max(length, declaredLength ?? 0) > maxLength) return false;
-        if (declaredLength === undefined) {
-          chunks.push(bytes);
-          if (!reservation && length > smallBodyBytes) reserve(maxLength);
-        } else {
-          whole ??= Buffer.allocUnsafeSlow(declaredLength);
-          whole.set(bytes.subarray(0, declaredLength - start), start);
-        }
+        if (Math.max(received.length() + bytes.length, declaredLength ?? 0) > maxLength) return false;
+        received.push(bytes);
+        if (received.isFragmented()) return false;
+        if (declaredLength === undefined && !reservation && received.length() > smallBodyBytes) reserve(maxLength);
         return true;
       },
       bytes: () => {
-        reservation?.shrinkTo(length);
-        return whole?.subarray(0, length) ?? Buffer.concat(chunks);
+        reservation?.shrinkTo(received.length());
+        return received.bytes();
       },
       release: () => reservation?.release(),
     };
--- a/packages/data-plane/src/forward/events.ts
+++ b/packages/data-plane/src/forward/events.ts
@@ -1,4 +1,6 @@
 /** Server-sent events as bytes (§5.6): cuts a stream into complete events, so that no part of one reaches a caller. */
+import { openByteCollector } from '@thornsail/runtime';
+
 const lineFeed = 10;
 const carriageReturn = 13;
 const colon = 58;
@@ -49,29 +51,40 @@
   }
   return -1;
 };
-const empty = Buffer.alloc(0);
 
-/** Parses server-sent events. */
-export const events = {
-  parseFields: fieldsOf,
-  /** `push` takes the next bytes and returns the events they complete; `rest` gives the bytes after the last event. */
-  reader: (): { push: (bytes: Uint8Array) => StreamEvent[]; rest: () => Uint8Array } => {
-    let buffered: Buffer = empty;
-    return {
-      push: (bytes) => {
-        const from = Math.max(0, buffered.length - 3);
-        const received = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length);
-        const available = buffered.length ? Buffer.concat([buffered, received]) : received;
-        const complete: StreamEvent[] = [];
-        let start = 0;
-        for (let end = endOfEvent(available, from); end >= 0; end = endOfEvent(available, start)) {
-          complete.push(eventOf(available.subarray(start, end)));
-          start = end;
-        }
-        buffered = start === available.length ? empty : Buffer.from(available.subarray(start));
-        return complete;
-      },
-      rest: () => buffered,
-    };
-  },
+/** Cuts one stream into events. */
+export type EventReader = {
+  /** Takes the next bytes and returns the events that they complete. */
+  push: (bytes: Uint8Array) => StreamEvent[];
+  /** The bytes after the last complete event. */
+  rest: () => Uint8Array;
+};
+const openReader = (): EventReader => {
+  let incomplete = openByteCollector({ max: Infinity });
+  return {
+    push: (bytes) => {
+      const from = Math.max(0, incomplete.length() - 3);
+      let available = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.length);
+      const isJoined = incomplete.length() > 0;
+      if (isJoined) {
+        incomplete.push(bytes);
+        available = incomplete.bytes();
+      }
+      const complete: StreamEvent[] = [];
+      let start = 0;
+      for (let end = endOfEvent(available, from); end >= 0; end = endOfEvent(available, start)) {
+        complete.push(eventOf(available.subarray(start, end)));
+        start = end;
+      }
+      if (start === 0 && isJoined) return complete;
+      // The events refer to the bytes that were joined, so that the rest gets memory of its own.
+      incomplete = openByteCollector({ max: Infinity });
+      if (start < available.length) incomplete.push(available.subarray(start));
+      return complete;
+    },
+    rest: () => incomplete.bytes(),
+  };
 };
+
+/** Parses server-sent events. */
+export const events = { parseFields: fieldsOf, reader: openReader };
--- a/packages/data-plane/test/answer-body.test.ts
+++ b/packages/data-plane/test/answer-body.test.ts
@@ -48,6 +48,15 @@
   assert.is(body.bytes().length, 70_000);
   assert.is(calls.at(-1), 'shrink 70000');
 });
+test('a body in very many small pieces is refused, and one in pieces of some hundred bytes is not', () => {
+  const { body } = open(undefined, true);
+  const piece = Buffer.from('12345678');
+  let pieces = 0;
+  while (body.push(piece) && pieces < maxLength / piece.length) pieces += 1;
+  assert.ok(pieces < 5000, `${pieces} pieces of ${piece.length} bytes are taken`);
+  const usual = open(undefined, true).body;
+  for (let i = 0; i < 4000; i++) assert.ok(usual.push(Buffer.alloc(200)));
+});
 test('a small body takes no memory from the budget, and one over the limit is refused', () => {
   const small = open(800);
   assert.ok(small.body.push(Buffer.alloc(800, 'b')));
--- a/packages/runtime/src/body-reader.ts
+++ b/packages/runtime/src/body-reader.ts
@@ -1,5 +1,6 @@
 /** Reads the body of a request into memory that is taken from a budget before the body is read. */
 import type http from 'node:http';
+import { openByteCollector } from './byte-collector.js';
 import type { MemoryBudget, Reservation } from './memory-budget.js';
 
 /** A request that holds memory is aborted if nothing of its body arrives for this long. */
@@ -28,8 +29,8 @@
   { limit, budget }: BodyLimits,
   onBody: (body: ReceivedBody) => void,
 ): (() => void) => {
-  const chunks: Buffer[] = [];
   const declared = declaredSize(request);
+  const received = openByteCollector({ declared, max: limit });
   let size = 0;
   let tooLarge = declared !== undefined && declared > limit;
   let memory: Reservation | undefined;
@@ -52,7 +53,7 @@
   };
   const discard = (): void => {
     tooLarge = true;
-    chunks.length = 0;
+    received.clear();
     clearTimeout(idleTimer);
     memory?.shrinkTo(0);
   };
@@ -60,7 +61,8 @@
     size += chunk.length;
     if (size > limit * discardFactor) return void request.destroy();
     if (tooLarge || size > limit) return discard();
-    chunks.push(chunk);
+    received.push(chunk);
+    if (received.isFragmented()) return void request.destroy();
     if (memory) restartIdleTimer();
     else if (size > smallBodyBytes) takeMemory();
   };
@@ -68,8 +70,7 @@
   request.on('end', () => {
     clearTimeout(idleTimer);
     memory?.shrinkTo(size);
-    const bytes = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
-    chunks.length = 0;
+    const bytes = received.bytes();
     onBody({ bytes, tooLarge });
   });
   request.on('close', () => {
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,5 +1,6 @@
 /** The runtime: access to clock, random source, network and disk (§2.1), and utilities shared by all packages. */
 export { address, type Address } from './address.js';
+export { openByteCollector, type ByteCollector, type CollectorSize } from './byte-collector.js';
 export { time, type Cancel, type Clock } from './clock.js';
 export { openDataFolder, type FileCalls } from './data-folder.js';
 export type { Disk } from './disk.js';
--- a/packages/runtime/test/clients.test.ts
+++ b/packages/runtime/test/clients.test.ts
@@ -47,6 +47,27 @@
   }
 };
 
+test('a body in very many chunks of a byte ends its connection, one in a thousand is taken', async () => {
+  const head = 'POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n';
+  const sizes: number[] = [];
+  await withServer(
+    (request, response) => {
+      sizes.push(request.bytes.length);
+      response.writeHead(204, {});
+      response.end();
+    },
+    async (server) => {
+      const client = connectClient(server.at, `${head}${'1\r\nx\r\n'.repeat(1000)}0\r\n\r\n`);
+      await sleep(200);
+      assert.equal(sizes, [1000]);
+      client.socket.destroy();
+      const endless = connectClient(server.at, `${head}${'1\r\nx\r\n'.repeat(200_000)}`);
+      await untilClosed(endless);
+      assert.is.not(endless.closed(), 'no');
+      assert.is(sizes.length, 1);
+    },
+  );
+});
 test('a close callback added after the client has disconnected is called at once', async () => {
   let notifications = 0;
   let isClosed = false;
