A response is limited in what arrives beyond its content; a text also in its whole time

Callers saw slow service and readiness checks that were missed by a second while 4 of 10 workers sent blank lines, a reason phrase, heads, chunk extensions or chunk sizes without end: up to 16.7 GB were read in 10 s, each at full speed until the deadline. Cause: limits count content, so that bytes that are no content pass all of them; and a head or trailers beyond undici's own limit cost an error for each field that its parser still had.

Each connection to a worker counts what it receives. A text may have a time limit on the whole, not only between two chunks.

--- a/packages/runtime/src/connection.ts
+++ b/packages/runtime/src/connection.ts
@@ -10,6 +10,7 @@
 import type { HttpConnection, ExchangeEvents } from './exchange.js';
 import { fault } from './fault.js';
 import type { Net } from './net.js';
+import { openReceiveLimit, type ReceiveLimit } from './receive-limit.js';
 
 /** Returns header names and values byte for byte as received if undici still has the raw bytes. */
 const rawHeadersOf = (
@@ -26,6 +27,7 @@
 /** Adapts `ExchangeEvents` to undici's handler. No event is passed on after the first end or error. */
 const dispatchHandler = (
   events: ExchangeEvents,
+  limit: ReceiveLimit,
   hooks: {
     onStart: (controller: Dispatcher.DispatchController) => void;
     onFinish: () => void;
@@ -35,6 +37,7 @@
   let done = false;
   return {
     onRequestStart: (controller) => {
+      limit.begin();
       hooks.onStart(controller);
       if (!done) events.onSent();
     },
@@ -43,6 +46,7 @@
     },
     onResponseData: (_controller, chunk) => {
       countContent(chunk.length);
+      limit.addContent(chunk.length);
       if (!done) events.onData(chunk);
     },
     onResponseEnd: () => {
@@ -63,10 +67,12 @@
 /** Creates a connection to a worker. The socket is opened by the first exchange. */
 export const connectHttp: Net['connectHttp'] = (address, options) => {
   let socket: net.Socket | undefined;
+  const limit = openReceiveLimit(address);
   const connectOptions = { timeout: options.connectTimeout / 1000, keepAlive: true, keepAliveInitialDelay: 1_000 };
   const client = new Client(`http://${address}`, {
     connect: connector.open(connectOptions, (connected) => {
       socket = connected;
+      limit.attach(connected);
     }),
     bodyTimeout: 0,
     headersTimeout: 0,
@@ -113,7 +119,7 @@
               ? Buffer.from(request.body.buffer, request.body.byteOffset, request.body.byteLength)
               : null,
         },
-        dispatchHandler(events, { onStart, onFinish, fault: toFault }),
+        dispatchHandler(events, limit, { onStart, onFinish, fault: toFault }),
       );
       return {
         pause: () => controller?.pause(),
--- a/packages/runtime/src/http.ts
+++ b/packages/runtime/src/http.ts
@@ -56,6 +56,8 @@
   headersTimeout: Microseconds;
   /** Time limit between two chunks of the body. */
   bodyTimeout?: Microseconds;
+  /** Time limit for the whole response, from the call on; none if absent. */
+  totalTimeout?: Microseconds;
   /** Use a new connection instead of a pooled one (§5.4). */
   newConnection?: boolean;
 };
