A stream with more events than its request allows is broken off

Callers could be handed any number of tokens beyond the budget of their program by a worker whose stream does not end, and other callers waited meanwhile: a turn that allows 10 events was relayed 234 of them until its deadline. Cause: nothing compared a stream with the largest output that its request states. Each event that a slow client left unread also started a wait of its own, with a timer.

A stream may have the events of its largest output and 16 more, 131072 if that is not stated, and 1024 events without data. One wait is under way at a time.

--- a/packages/data-plane/src/forward/exchange.ts
+++ b/packages/data-plane/src/forward/exchange.ts
@@ -79,6 +79,7 @@
       let response: { status: number; rawHeaders: readonly string[]; head: WorkerResponseHead } | undefined;
       let body: AnswerBody | undefined;
       const reader = events.reader();
+      let paused = false;
       const finish = (outcome: Outcome, reusable: boolean): void => {
         if (over) return;
         over = true;
@@ -113,16 +114,24 @@
         streaming = false;
         if (!isStream()) body = openBody(headers['content-length']);
       };
+      /** Holds the worker up until the client has read what it was sent. */
+      const holdUp = (): void => {
+        if (paused) return;
+        paused = true;
+        control?.pause();
+        void options.sink.drained().then(() => {
+          paused = false;
+          control?.resume();
+        });
+      };
       const onEvents = (bytes: Uint8Array): void => {
         for (const event of reader.push(bytes)) {
           if (!streaming) {
             streaming = true;
             options.sink.head(response!.status, dialect.clientHeaders(response!.rawHeaders));
           }
-          if (!options.sink.event(event)) {
-            control?.pause();
-            void options.sink.drained().then(() => control?.resume());
-          }
+          if (over) return;
+          if (!options.sink.event(event)) holdUp();
         }
         if (reader.rest().length > maxEventBytes) fail('an event of the stream is too large');
       };
@@ -130,7 +139,7 @@
       const onData = (bytes: Uint8Array): void => {
         if (over || !response) return;
         if (isStream()) return onEvents(bytes);
-        if (body && !body.push(bytes)) fail('the response is too large');
+        if (body && !body.push(bytes)) fail('the response is too large, or comes in too many pieces');
       };
       const onEnd = (): void => {
         if (!response) return fail('the connection ended without a response head');
--- a/packages/data-plane/src/forward/send.ts
+++ b/packages/data-plane/src/forward/send.ts
@@ -12,6 +12,11 @@
 
 /** In bytes, of a response that is not a stream, and of the output of a turn that is kept. */
 const maxResponseSize = 8 << 20;
+/** Events that a stream may have beyond the output that its request allows, and events without data. */
+const spareEvents = 16;
+const maxEventsWithoutData = 1024;
+/** Events of a stream whose request does not state the largest output. */
+const maxEventsUnstated = 1 << 17;
 const minimumTimeToSend = duration.ms(1);
 /** Share of a worker's connection limit that all gateways together use. */
 const connectionShare = 0.9;
@@ -68,12 +73,17 @@
   const [last, next] = [Number(lastEventId ?? Number.NaN), Number(events.parseFields(event.bytes).id ?? Number.NaN)];
   return !(next <= last);
 };
+/** The most events with data that the request allows a stream. */
+const maxEventsOf = ({ plan, placement }: Request): number =>
+  plan.usage.most === 0 ? maxEventsUnstated : Math.ceil(plan.usage.most / placement.tokensPerEvent) + spareEvents;
 /** Relays events to the caller as they arrive. A resumed stream keeps the response head of its first worker. */
 const sinkOf = (request: Request, sentAt: Microseconds, aborter: ExchangeAborter): StreamSink => {
   const { gateway, plan, placement, relayed, response } = request;
   const { dialect } = request.forwarding;
   const resumed = relayed.lastEventId !== null;
+  const maxEvents = maxEventsOf(request);
   let first = true;
+  let eventsWithoutData = 0;
   const relay = (event: StreamEvent): void => {
     relayed.events += 1;
     relayed.lastEventBytes = event.bytes;
@@ -96,6 +106,10 @@
     },
     event: (event) => {
       if (aborter.reason() !== null) return true;
+      if (event.hasData ? relayed.events >= maxEvents : ++eventsWithoutData > maxEventsWithoutData) {
+        aborter.abort('the stream has more events than the request allows');
+        return true;
+      }
       if (event.hasData) {
         if (resumed && first && !continuesAfter(relayed.lastEventId, event)) {
           aborter.abort('the resumed stream repeats events that the client has');
--- a/packages/data-plane/test/exchange.test.ts
+++ b/packages/data-plane/test/exchange.test.ts
@@ -4,14 +4,17 @@
 import { real, readText, type ExchangeEvents, type HttpResponseWriter } from '@thornsail/runtime';
 import type { WorkerEntry } from '@thornsail/load-balancer';
 import type { Dialect } from '../src/forward/dialect.js';
-import { exchange, type Outcome } from '../src/forward/exchange.js';
+import { exchange, type Outcome, type StreamSink } from '../src/forward/exchange.js';
 import type { ForwardRequest } from '../src/forward/plan.js';
 
 const chunk = Buffer.alloc(64 << 10, 'x');
 const manyChunks = 64;
 
 /** Runs an exchange of a stream; `worker` sends its response. */
-const runStream = async (worker: (events: ExchangeEvents, isAborted: () => boolean) => void): Promise<Outcome> => {
+const runStream = async (
+  worker: (events: ExchangeEvents, isAborted: () => boolean) => void,
+  sink: StreamSink = { head: () => undefined, event: () => true, drained: () => Promise.resolve() },
+): Promise<Outcome> => {
   let aborted = false;
   let events: ExchangeEvents | undefined;
   const head = { matchesAttempt: true, unsound: false, success: true, notRun: false, keepAlive: null, load: null };
@@ -41,7 +44,7 @@
     left: 1_000_000,
     lastEvent: null,
     client: { onClose: () => undefined } as unknown as HttpResponseWriter,
-    sink: { head: () => undefined, event: () => true, drained: () => Promise.resolve() },
+    sink,
     maxBodySize: 1 << 20,
   });
   events!.onSent();
@@ -66,6 +69,22 @@
   });
   assert.is(outcome.type, 'streamed');
 });
+test('while a client reads slowly, one wait is under way however many events arrive', async () => {
+  let waits = 0;
+  const drained = (): Promise<void> => {
+    waits += 1;
+    return Promise.resolve();
+  };
+  const outcome = await runStream(
+    (events) => {
+      events.onData(Buffer.from('data:x\n\n'.repeat(500)));
+      events.onEnd();
+    },
+    { head: () => undefined, event: () => false, drained },
+  );
+  assert.is(outcome.type, 'streamed');
+  assert.is(waits, 1);
+});
 test('a text that is read as a whole is refused beyond its limit', async () => {
   const endless = async function* (): AsyncIterable<string> {
     for (;;) yield Promise.resolve('x'.repeat(1000));
