Reports of workers are short, asked for once at a time, and hold nothing up

Callers saw gateways end, and requests sent to workers that had left: with 4 of 10 workers whose reports do not end, up to four gateways exhausted their heap in 10 s; while one report came byte by byte, a worker taken off the list still got 28 requests 3 s to 6 s later. Cause: a report was read as text of up to 16 M characters, several of one worker at once, and the list of workers and the scheduler's tick waited for it, with a time limit between two chunks only.

--- a/packages/data-plane/src/admission/scheduler-tick.ts
+++ b/packages/data-plane/src/admission/scheduler-tick.ts
@@ -21,22 +21,22 @@
   let stop: Cancel = () => undefined;
   const reportWorkers = (): void =>
     turns.step({ type: 'workers-changed', workers: capacity.schedulerWorkers(workers) });
-  const tick = async (): Promise<void> => {
-    await capacity.query(workers);
-    if (closed) return;
-    reportWorkers();
-    turns.step({ type: 'tick' });
-  };
-  const queryNew = async (list: WorkerEntry[]): Promise<void> => {
+  const query = async (list: WorkerEntry[]): Promise<void> => {
     await capacity.query(list);
     if (!closed) reportWorkers();
   };
+  /** The scheduler does not wait for reports: a worker may be slow to send its own. */
+  const tick = (): void => {
+    void query(workers);
+    reportWorkers();
+    turns.step({ type: 'tick' });
+  };
   return {
     setWorkers: (list) => {
       const newWorkers = list.filter((worker) => !capacity.isKnown(worker.id));
       workers = list;
       reportWorkers();
-      if (newWorkers.length > 0) void queryNew(newWorkers);
+      if (newWorkers.length > 0) void query(newWorkers);
     },
     setInterval: (next) => {
       if (next === interval) return;
--- a/packages/data-plane/src/admission/worker-capacity.ts
+++ b/packages/data-plane/src/admission/worker-capacity.ts
@@ -7,13 +7,19 @@
 export type WorkerCapacity = {
   /** Whether a worker has reported its capacity. */
   isKnown: (worker: string) => boolean;
-  /** Queries the workers whose capacity is not listed. Never rejects: on failure the last known capacity is kept. */
+  /**
+   * Queries the workers whose capacity is not listed, each once at a time; resolves when those have answered or failed
+   * that no earlier call asks. Never rejects: on failure the last known capacity is kept.
+   */
   query: (workers: WorkerEntry[]) => Promise<void>;
   /** The model workers as the scheduler sees them. */
   schedulerWorkers: (workers: WorkerEntry[]) => Worker[];
 };
 
+/** Of a whole report, from the request on. */
 const reportTimeout = duration.ms(800);
+/** In characters; a report lists the models of its worker. */
+const maxReportLength = 256 << 10;
 
 /** Opens the capacities of workers. */
 export const workerCapacity = {
@@ -23,22 +29,29 @@
     const capacities = new Map<string, number>();
     /** The workers whose last report could not be read. */
     const failing = new Set<string>();
+    const querying = new Set<string>();
     const queryWorker = async (worker: WorkerEntry): Promise<void> => {
+      if (querying.has(worker.id)) return;
+      querying.add(worker.id);
       try {
         const response = await runtime.net.request({
           at: worker.at,
           method: 'GET',
           path: workerProtocol.report.path,
           headersTimeout: reportTimeout,
-          bodyTimeout: reportTimeout,
+          totalTimeout: reportTimeout,
+          // Only a connection of its own is limited in what it receives beyond the content.
+          newConnection: true,
         });
-        const capacity = workerProtocol.report.capacity(await readText(response.body));
+        const capacity = workerProtocol.report.capacity(await readText(response.body, maxReportLength));
         if (capacity !== undefined) capacities.set(worker.id, capacity);
         failing.delete(worker.id);
       } catch (error) {
         // The last known capacity is kept.
         if (!failing.has(worker.id)) log(`the report of worker ${worker.id} can't be read: ${fault.text(error)}.`);
         failing.add(worker.id);
+      } finally {
+        querying.delete(worker.id);
       }
     };
     return {
