The product interface breaks off streams, events and results that never end

The same fault at /v1/chat/completions and /v1/jobs, found by looking for it; nobody was seen to meet it. An event without end was held without a limit and searched anew with each chunk, so that the time grew with the square of its length; a stream went on as long as its worker sent; a result could come byte by byte for good. An event is at most 1 M characters and joined once, a stream has eight events a token of its largest output and 1024 more, and a result has 5 s beyond the job's deadline.

Fails before: load-balancer/test/worker-protocol (2 M characters in pieces of 8 are no error, and take 255 s), simulation/test/streams with the limit taken out (20000 events); after: pass. The stand-in models of that test stood there twice.

--- a/packages/data-plane/src/errors.ts
+++ b/packages/data-plane/src/errors.ts
@@ -65,6 +65,7 @@
 /** Errors within the data plane. Clients never see these codes, only those of the table above. */
 export const internalErrors = errorCatalogue('data-plane', {
   'worker-fault': { message: 'the worker reported an error within its stream', retryable: false },
+  'worker-excess': { message: 'the stream has more events than its request allows', retryable: false },
   'stream-incomplete': { message: 'the stream ended without its end marker', retryable: false },
   'result-too-large': { message: 'a result over 4 MiB', retryable: false },
   'append-refused': { message: 'another turn was appended meanwhile, or this one was fenced', retryable: false },
--- a/packages/data-plane/src/job.ts
+++ b/packages/data-plane/src/job.ts
@@ -24,6 +24,8 @@
 const maxResultLength = 4 << 20;
 /** Minimum timeout for the head of a worker's response. */
 const minimumJobTime = duration.ms(100);
+/** A result may be complete this long after the job's deadline. */
+const lateResult = duration.s(5);
 
 const releaseKey = (job: JobRequest): void => {
   if (!job.claimed) return;
@@ -154,11 +156,13 @@
     job.timeline.enter('first_event');
     job.timeline.sentTo(checked.id, null);
     const sentAt = gateway.runtime.clock.now();
+    const timeLeft = Math.max(minimumJobTime, plan.timeLeft - elapsed(job));
     const reply = await workerClient.send(gateway.runtime, checked, {
       path: workerProtocol.job.path,
       body: plan.body,
       headers: plan.key === null ? {} : { 'idempotency-key': plan.key },
-      timeLeft: Math.max(minimumJobTime, plan.timeLeft - elapsed(job)),
+      timeLeft,
+      totalTimeLeft: timeLeft + lateResult,
     });
     if (reply.type === 'failed') return handleNoResponse(job, checked.id, reply.unsent, round);
     let body: string;
--- a/packages/data-plane/src/relay.ts
+++ b/packages/data-plane/src/relay.ts
@@ -16,6 +16,11 @@
 /** `complete`: settled, stored and ended; `empty`: lost before anything was relayed; `cut`: lost after that. */
 export type RelayOutcome = 'complete' | 'empty' | 'cut';
 
+/** Events that a stream may have for each token of its largest output, since an event may hold part of a token. */
+const eventsPerToken = 8;
+/** Events without output, beyond these. */
+const spareEvents = 1024;
+
 type ToolCall = { id?: string; type: string; function: { name: string; arguments: string } };
 type ToolCallDelta = { index?: number; id?: string; function?: { name?: string; arguments?: string } };
 /** Progress of a stream. Output tokens are the worker's own count, or the number of events until it reports one. */
@@ -23,6 +28,8 @@
   /** Events that were written to the client. */
   written: number;
   headSent: boolean;
+  /** Events that the worker sent. */
+  events: number;
   /** Events with output. */
   outputEvents: number;
   promptTokens: number;
@@ -134,6 +141,7 @@
 
 /** Updates the progress with one event. */
 const updateProgress = (turn: ChatTurn, progress: Progress, event: StreamEvent & { type: 'delta' | 'usage' }): void => {
+  progress.events += 1;
   progress.content += event.text;
   if (event.finish !== null) progress.finishReason = event.finish;
   if (event.type === 'usage') {
@@ -144,6 +152,10 @@
   turn.gateway.admission.contextGrew(turn.plan.program, progress.promptTokens + outputTokens(progress));
 };
 
+/** Whether the worker has sent more than the turn's largest output. */
+const isExcessive = ({ plan }: ChatTurn, { events }: Progress): boolean =>
+  events > eventsPerToken * plan.maxTokens + spareEvents;
+
 /** Relays the response to a request sent at `sentAt` (clock time) until it ends or is lost. Never rejects. */
 export const relay = async (
   turn: ChatTurn,
@@ -156,6 +168,7 @@
   const progress: Progress = {
     written: 0,
     headSent: false,
+    events: 0,
     outputEvents: 0,
     promptTokens: turn.context.promptEstimate,
     outputTokens: null,
@@ -178,6 +191,8 @@
           gateway.admission.observeFirstToken(plan.className, gateway.runtime.clock.now() - sentAt, turn.forced);
         }
         updateProgress(turn, progress, event);
+        if (isExcessive(turn, progress))
+          throw internalErrors.create('worker-excess', { step: 'relay', peer: workerId });
         await writeEvent(turn, progress, workerId, event.data);
       }
     }
--- a/packages/data-plane/src/worker-request.ts
+++ b/packages/data-plane/src/worker-request.ts
@@ -10,6 +10,8 @@
   headers: Record<string, string>;
   /** Timeout for the head of the response. */
   timeLeft: Microseconds;
+  /** Timeout for the whole response; none if absent. */
+  totalTimeLeft?: Microseconds;
 };
 
 /** A worker that sends nothing for this long within a response body counts as lost. */
@@ -31,6 +33,7 @@
         newConnection: true,
         headersTimeout: request.timeLeft,
         bodyTimeout: readTimeout,
+        ...(request.totalTimeLeft === undefined ? {} : { totalTimeout: request.totalTimeLeft }),
       });
       return { type: 'response', response };
     } catch (error) {
--- a/packages/load-balancer/src/worker-protocol.ts
+++ b/packages/load-balancer/src/worker-protocol.ts
@@ -65,6 +65,9 @@
 };
 
 const eventSeparator = /\r?\n\r?\n/;
+const longestSeparator = '\r\n\r\n'.length;
+/** The largest event of a stream, in characters: it is held until it is complete. */
+const maxEventLength = 1 << 20;
 /** The data of one server-sent event, its lines joined; comments and other fields are ignored. */
 const eventData = (event: string): string =>
   event
@@ -72,19 +75,42 @@
     .filter((line) => line.startsWith('data:'))
     .map((line) => line.slice('data:'.length).replace(/^ /, ''))
     .join('\n');
-/** Returns an incremental parser: given a chunk of the stream, it returns the events completed by that chunk. */
+/** Cuts a text that ends an event into the complete events' data and the rest. */
+const cutEvents = (text: string): { complete: string[]; rest: string } => {
+  const pieces = text.split(eventSeparator);
+  const rest = pieces.pop()!;
+  return { complete: pieces.map(eventData).filter((data) => data !== ''), rest };
+};
+/**
+ * Returns an incremental parser: given a chunk of the stream, it returns the events completed by that chunk, and an
+ * error in place of an event that is too large. Chunks of an incomplete event are joined once.
+ */
 const streamReader = (): ((text: string) => StreamEvent[]) => {
-  let incomplete = '';
+  let chunks: string[] = [];
+  let length = 0;
+  /** The end of the last chunks, where a separator may have begun. */
+  let tail = '';
+  const hold = (text: string): void => {
+    chunks.push(text);
+    length += text.length;
+    tail = (tail + text).slice(1 - longestSeparator);
+  };
+  const reset = (): void => {
+    chunks = [];
+    length = 0;
+    tail = '';
+  };
   return (text) => {
-    incomplete += text;
     const events: StreamEvent[] = [];
-    for (;;) {
-      const end = eventSeparator.exec(incomplete);
-      if (!end) return events;
-      const data = eventData(incomplete.slice(0, end.index));
-      incomplete = incomplete.slice(end.index + end[0].length);
-      if (data !== '') events.push(readEvent(data));
-    }
+    if (eventSeparator.test(tail + text)) {
+      const { complete, rest } = cutEvents(chunks.join('') + text);
+      events.push(...complete.map(readEvent));
+      reset();
+      hold(rest);
+    } else hold(text);
+    if (length <= maxEventLength) return events;
+    reset();
+    return [...events, { type: 'error', text: `an event over ${maxEventLength} characters` }];
   };
 };
 
--- a/packages/load-balancer/test/worker-protocol.test.ts
+++ b/packages/load-balancer/test/worker-protocol.test.ts
@@ -26,6 +26,19 @@
   }
   assert.is(workerProtocol.chat.reader()('data: {nonsense\n\n')[0]!.type, 'error');
 });
+test('an event that never ends is an error, however small its chunks are, and is not held', () => {
+  const read = workerProtocol.chat.reader();
+  let pushed = 0;
+  let events: StreamEvent[] = [];
+  const startedAt = performance.now();
+  for (; events.length === 0 && pushed < 2 << 20; pushed += 8) events = read('xxxxxxxx');
+  assert.equal(
+    events.map(({ type }) => type),
+    ['error'],
+  );
+  assert.ok(pushed < 2 << 20, `${pushed} characters are held`);
+  assert.ok(performance.now() - startedAt < 1000, 'the time does not grow with the square of the length');
+});
 test("a worker's capacity is read from its report, and is undefined if the report lacks it", () => {
   assert.is(workerProtocol.report.capacity('{"CacheTotal": 512}'), 512);
   assert.is(workerProtocol.report.capacity('{"CacheTotal": "x"}'), undefined);
--- a/tools/simulation/test/streams.test.ts
+++ b/tools/simulation/test/streams.test.ts
@@ -1,37 +1,44 @@
 // Streams to callers: a worker stream without its end marker, a slow reader, and a gateway killed in mid-stream.
 import { test } from 'uvu';
 import * as assert from 'uvu/assert';
-import { duration, type HttpClientResponse, type Address } from '@thornsail/runtime';
-import { fleet } from '@thornsail/simulation';
+import {
+  duration,
+  type Address,
+  type HttpClientResponse,
+  type HttpHandler,
+  type HttpResponseWriter,
+} from '@thornsail/runtime';
+import { fleet, type Fleet } from '@thornsail/simulation';
 
 const headers = { 'content-type': 'application/json', 'x-thornsail-program': 'p1', 'x-thornsail-class': 'chat' };
 const body = JSON.stringify({ messages: [{ role: 'user', content: 'go [last]' }], max_tokens: 40 });
 
-test('a worker stream that ends without its end marker reaches the caller as cut, never as complete', async () => {
-  const testFleet = await fleet.open({ seed: 3, shape: 'lautoka' });
-  // Each worker is replaced by one whose stream ends without an error and without an end marker.
-  for (const worker of testFleet.layout.workers.filter((candidate) => candidate.kind === 'model')) {
-    const server = [...testFleet.models].find((model) => model.at === worker.at)!;
-    await server.close();
-  }
+/** Replaces each model worker by one that answers every request with a stream, which `send` writes and ends. */
+const replaceModels = async (
+  testFleet: Fleet,
+  send: (response: HttpResponseWriter) => void | Promise<void>,
+): Promise<void> => {
+  for (const model of testFleet.models) await model.close();
   for (const worker of testFleet.layout.workers.filter((candidate) => candidate.kind === 'model')) {
-    const host = worker.at.split(':')[0]!;
-    const runtime = testFleet.world.runtime(testFleet.hostOf(host));
-    await runtime.net.serveHttp(
-      worker.at,
-      (request, response) => {
-        if (request.path === '/report') {
-          response.writeHead(200, {});
-          response.end('{"CacheTotal": 6000}');
-          return;
-        }
+    const { net } = testFleet.world.runtime(testFleet.hostOf(worker.at.split(':')[0]!));
+    const handler: HttpHandler = (request, response) => {
+      if (request.path !== '/report') {
         response.writeHead(200, { 'content-type': 'text/event-stream' });
-        response.write('data: {"choices":[{"delta":{"content":"a "},"finish_reason":null}]}\n\n');
-        response.end();
-      },
-      1 << 20,
-    );
+        return send(response);
+      }
+      response.writeHead(200, {});
+      response.end('{"CacheTotal": 6000}');
+    };
+    await net.serveHttp(worker.at, handler, 1 << 20);
   }
+};
+
+test('a worker stream that ends without its end marker reaches the caller as cut, never as complete', async () => {
+  const testFleet = await fleet.open({ seed: 3, shape: 'lautoka' });
+  await replaceModels(testFleet, (response) => {
+    response.write('data: {"choices":[{"delta":{"content":"a "},"finish_reason":null}]}\n\n');
+    response.end();
+  });
   let text = '';
   let ended: 'clean' | 'cut' | null = null;
   const readStream = async (): Promise<void> => {
@@ -58,34 +65,18 @@
 
 test('a reader that stops reading applies backpressure, is disconnected, and its turn is settled', async () => {
   const testFleet = await fleet.open({ seed: 4, shape: 'lautoka' });
-  for (const model of testFleet.models) await model.close();
   let chunkCount = 0;
   let isEnded = false;
-  for (const worker of testFleet.layout.workers.filter((candidate) => candidate.kind === 'model')) {
-    const runtime = testFleet.world.runtime(testFleet.hostOf(worker.at.split(':')[0]!));
-    await runtime.net.serveHttp(
-      worker.at,
-      async (request, response) => {
-        if (request.path === '/report') {
-          response.writeHead(200, {});
-          response.end('{"CacheTotal": 6000}');
-          return;
-        }
-        response.writeHead(200, { 'content-type': 'text/event-stream' });
-        for (let i = 0; i < 400; i++) {
-          chunkCount += 1;
-          if (
-            !response.write(`data: {"choices":[{"delta":{"content":"${'z'.repeat(2000)}"},"finish_reason":null}]}\n\n`)
-          )
-            await response.drained();
-        }
-        response.write('data: {"choices":[],"usage":{"prompt_tokens":5,"completion_tokens":7}}\n\n');
-        response.end('data: [DONE]\n\n');
-        isEnded = true;
-      },
-      1 << 20,
-    );
-  }
+  await replaceModels(testFleet, async (response) => {
+    for (let i = 0; i < 400; i++) {
+      chunkCount += 1;
+      if (!response.write(`data: {"choices":[{"delta":{"content":"${'z'.repeat(2000)}"},"finish_reason":null}]}\n\n`))
+        await response.drained();
+    }
+    response.write('data: {"choices":[],"usage":{"prompt_tokens":5,"completion_tokens":7}}\n\n');
+    response.end('data: [DONE]\n\n');
+    isEnded = true;
+  });
   let reply: HttpClientResponse | undefined;
   void testFleet.callerRuntime.net
     .request({
@@ -114,6 +105,29 @@
   assert.equal([budgetRecord!.spent, budgetRecord!.open], [12, null]);
   assert.is(testFleet.process('gateway-edge1').node!.counts()['slow_cut'], 1);
 });
+test('a worker stream that never ends is broken off at a multiple of the output that its request allows', async () => {
+  const testFleet = await fleet.open({ seed: 5, shape: 'lautoka' });
+  let sent = 0;
+  await replaceModels(testFleet, async (response) => {
+    while (!response.isClosed() && sent < 20_000) {
+      sent += 1;
+      if (!response.write('data: {"choices":[{"delta":{"content":"z"},"finish_reason":null}]}\n\n'))
+        await response.drained();
+    }
+  });
+  const reply = testFleet.http(
+    testFleet.process('gateway-edge1').options['http'] as Address,
+    'POST',
+    '/v1/chat/completions',
+    JSON.parse(body) as object,
+    headers,
+  );
+  let isOver = false;
+  const finish = (): void => void (isOver = true);
+  void reply.then(finish, finish);
+  await testFleet.until('the stream to end', () => isOver, duration.s(20));
+  assert.ok(sent < 10_000, `${sent} events were taken`);
+});
 test('a gateway killed in mid-stream cuts its own streams and no others', async () => {
   const testFleet = await fleet.open({ seed: 6, shape: 'granite', perToken: duration.ms(40) });
   const ended = new Map<string, 'clean' | 'cut'>();
