Founders that form a group one after the other give their first versions different numbers

Two members of either group overlap, so that no second leader was found, but a number must name one version.

The index of a first version is now the place of its founder among the addresses of all; the wire keeps its form. And a founder sends the first version only once it is on its own disk, so that one that starts again forms no other.

--- a/packages/consensus/src/follower.ts
+++ b/packages/consensus/src/follower.ts
@@ -1,10 +1,10 @@
 /** Requests that every member handles (§3.3): append, heartbeat, pre-vote, vote, form, resign and discover. */
 import { noteRequest } from './group-signs.js';
-import { abandonElection, commit, writeSnapshot, writeTerm } from './effects.js';
+import { abandonElection, commit, send, writeSnapshot, writeTerm } from './effects.js';
 import { stepDown } from './leader.js';
 import { isNewer } from './quorum.js';
 import type { Address } from '@thornsail/runtime';
-import type { Continuation, Event, ReplicaState, RequestMessage, Snapshot, Step } from './types.js';
+import type { Continuation, Event, Member, ReplicaState, RequestMessage, Snapshot, Step } from './types.js';
 
 type Request<S, K extends RequestMessage<S>['kind']> = {
   call: number;
@@ -120,22 +120,40 @@
   step.effects.push({ type: 'reply', call, reply: { kind: 'vote', ok: true, term, accepted: state.accepted } });
 };
 
-/** Accepts version 0 with the given members; `call` is null if this replica forms the group itself. */
+/**
+ * The index of the first version, by the address of the founder that forms the group. After a founder has lost its disk
+ * another one may form the group once more, with other members: each must have a version of its own.
+ */
+const firstIndex = (members: readonly Member[], former: Address): number =>
+  members
+    .map((member) => member.at)
+    .sort()
+    .indexOf(former);
+/** Accepts the first version with the given members; `call` is null if this replica forms the group itself. */
 export const formGroup = <S>(
   step: Step<S>,
   call: number | null,
-  message: RequestMessage<S> & { kind: 'form' },
+  { former, members }: { former: Address; members: Member[] },
 ): void => {
   const { state } = step;
-  const { members } = message;
-  if (!state.accepted && members.some((member) => member.id === state.id))
-    writeSnapshot(step, { term: 0, index: 0, members, state: state.initial }, { kind: 'form', call });
+  const index = firstIndex(members, former);
+  if (!state.accepted && index >= 0 && members.some((member) => member.id === state.id))
+    writeSnapshot(step, { term: 0, index, members, state: state.initial }, { kind: 'form', call });
   else if (call !== null) step.effects.push({ type: 'reply', call, reply: { kind: 'form', ok: false } });
 };
+/** Only a version that is on the disk of its founder is sent: it does not form another one when it starts again. */
+const sendFirstVersion = <S>(step: Step<S>): void => {
+  const { state } = step;
+  const { members } = state.accepted!;
+  for (const member of members)
+    if (member.id !== state.id)
+      send(step, member.at, { kind: 'form', members }, state.timing.voteTimeout, { kind: 'form' });
+};
 const onFormed = <S>(step: Step<S>, call: number | null): void => {
   step.state.lastContactAt = step.now;
   step.effects.push({ type: 'log', text: 'the group was formed with the other founders.' });
-  if (call !== null) step.effects.push({ type: 'reply', call, reply: { kind: 'form', ok: true } });
+  if (call === null) sendFirstVersion(step);
+  else step.effects.push({ type: 'reply', call, reply: { kind: 'form', ok: true } });
 };
 
 /** The leader has resigned: the members start elections at once, one heartbeat apart in the order of the list. */
@@ -171,7 +189,7 @@
     case 'vote':
       return onVote(step, { call, from, message });
     case 'form':
-      return formGroup(step, call, message);
+      return formGroup(step, call, { former: from, members: message.members });
     case 'resign':
       return onResign(step, { call, from, message });
     case 'discover': {
--- a/packages/consensus/src/group-formation.ts
+++ b/packages/consensus/src/group-formation.ts
@@ -72,8 +72,5 @@
   if (!complete || !isFormer(step, discovery)) return logUnformed(step, discovery);
   const found = [...discovery.found].sort((a, b) => founders.indexOf(a.at) - founders.indexOf(b.at));
   const members = found.map(({ id, at }) => ({ id, at }));
-  for (const member of members)
-    if (member.id !== state.id)
-      send(step, member.at, { kind: 'form', members }, state.timing.voteTimeout, { kind: 'form' });
-  formGroup(step, null, { kind: 'form', members });
+  formGroup(step, null, { former: state.at, members });
 };
--- a/packages/consensus/test/model.test.ts
+++ b/packages/consensus/test/model.test.ts
@@ -263,7 +263,10 @@
   assert.is(leaders, 600 * effort);
 });
 test('a founder that starts again without its disk, and not as a founder, does not keep the group from forming', () => {
-  for (let seed = 1; seed <= 400 * effort; seed++) {
+  // Two founders one after the other formed a group with these seeds.
+  const formerFailures = [413, 1678];
+  const seeds = Array.from({ length: 400 * effort }, (_, i) => i + 1);
+  for (const seed of new Set([...seeds, ...formerFailures])) {
     invariant.clear();
     const pick = randomFrom(seed);
     const size = seed % 4 === 0 ? 5 : 3;
