--- a/tools/simulation/src/guards/runtime.ts
+++ b/tools/simulation/src/guards/runtime.ts
@@ -61,6 +61,22 @@
     replacement: 'if (false)',
     noticedBy: { test: 'runtime/test/clients.test.js' },
   }),
+  guard({
+    name: 'a response is limited in what arrives beyond its content',
+    rule: 'answers',
+    file: 'runtime/src/receive-limit.js',
+    find: 'if (isExceeded())',
+    replacement: 'if (false)',
+    noticedBy: { test: 'runtime/test/endless-responses.test.js' },
+  }),
+  guard({
+    name: 'a request body in very many pieces closes its connection',
+    rule: 'answers',
+    file: 'runtime/src/body-reader.js',
+    find: 'if (received.isFragmented())',
+    replacement: 'if (false)',
+    noticedBy: { test: 'runtime/test/clients.test.js' },
+  }),
   guard({
     name: 'closing a server first flushes its responses',
     rule: 'answers',
