--- a/packages/consensus/test/model.test.ts
+++ b/packages/consensus/test/model.test.ts
@@ -21,6 +21,17 @@
   };
 };
 
+/** A random step of a group that forms: a node is started, or goes on, and a packet arrives or is lost. */
+const formationStep = (model: Model, pick: (limit: number) => number, stops?: () => boolean): void => {
+  const node = model.nodes[pick(model.nodes.length)]!;
+  if (!node.up) perform(model, { kind: 'restart', at: node.at });
+  else if (stops?.()) perform(model, { kind: pick(2) ? 'crash' : 'crash-after-sync', at: node.at });
+  else if (node.write && pick(3)) perform(model, { kind: 'sync', at: node.at });
+  else if (pick(4) === 0) perform(model, { kind: 'time-out', at: node.at });
+  const packets = packetActions(model).filter(({ kind }) => kind === 'deliver' || pick(8) === 0);
+  if (packets.length) perform(model, packets[pick(packets.length)]!);
+};
+
 /** The relative frequency of each kind of action among the possible ones. */
 const weights: Record<Action['kind'], number> = {
   deliver: 30,
@@ -248,13 +259,7 @@
     const failureStep = pick(60);
     for (let i = 0; i < 120 && model.violations.length === 0; i++) {
       if (i === failureStep) perform(model, { kind: pick(2) ? 'wipe' : 'crash', at: failing.at });
-      const { at } = model.nodes[pick(size)]!;
-      const node = model.nodes.find((candidate) => candidate.at === at)!;
-      if (!node.up) perform(model, { kind: 'restart', at });
-      else if (node.write && pick(3)) perform(model, { kind: 'sync', at });
-      else if (pick(4) === 0) perform(model, { kind: 'time-out', at });
-      const packets = packetActions(model).filter(({ kind }) => kind === 'deliver' || pick(8) === 0);
-      if (packets.length) perform(model, packets[pick(packets.length)]!);
+      formationStep(model, pick);
     }
     checkRecovers(model);
     assert.equal(model.violations, [], `seed ${seed}`);
@@ -278,12 +283,7 @@
         perform(model, { kind: 'wipe', at: failing.at });
         Object.assign(failing, { founders: [], founding: 'none' });
       }
-      const node = model.nodes[pick(size)]!;
-      if (!node.up) perform(model, { kind: 'restart', at: node.at });
-      else if (node.write && pick(3)) perform(model, { kind: 'sync', at: node.at });
-      else if (pick(4) === 0) perform(model, { kind: 'time-out', at: node.at });
-      const packets = packetActions(model).filter(({ kind }) => kind === 'deliver' || pick(8) === 0);
-      if (packets.length) perform(model, packets[pick(packets.length)]!);
+      formationStep(model, pick);
     }
     checkRecovers(model);
     assert.equal(model.violations, [], `seed ${seed}`);
@@ -300,13 +300,7 @@
     for (const node of model.nodes) if (seed % 3 === 0 || pick(2)) perform(model, { kind: 'wipe', at: node.at });
     model.wipedIds.clear();
     for (let i = 0; i < 120 && model.violations.length === 0; i++) {
-      const node = model.nodes[pick(size)]!;
-      if (!node.up) perform(model, { kind: 'restart', at: node.at });
-      else if (pick(12) === 0) perform(model, { kind: pick(2) ? 'crash' : 'crash-after-sync', at: node.at });
-      else if (node.write && pick(3)) perform(model, { kind: 'sync', at: node.at });
-      else if (pick(4) === 0) perform(model, { kind: 'time-out', at: node.at });
-      const packets = packetActions(model).filter(({ kind }) => kind === 'deliver' || pick(8) === 0);
-      if (packets.length) perform(model, packets[pick(packets.length)]!);
+      formationStep(model, pick, () => pick(12) === 0);
     }
     checkRecovers(model);
     assert.equal(model.violations, [], `seed ${seed}`);
--- a/packages/data-plane/src/forward/exchange.ts
+++ b/packages/data-plane/src/forward/exchange.ts
@@ -13,7 +13,7 @@
 import { answerBody, type AnswerBody } from './answer-body.js';
 import type { Lease } from './connections.js';
 import type { Dialect, WorkerResponseHead } from './dialect.js';
-import { events, type StreamEvent } from './events.js';
+import { events, type EventReader, type StreamEvent } from './events.js';
 import type { ForwardRequest } from './plan.js';
 
 /**
@@ -51,145 +51,181 @@
 /** The largest event of a stream, in bytes: it is held until it is complete. */
 const maxEventBytes = 1 << 20;
 
+/** What an exchange needs. */
+export type ExchangeOptions = {
+  runtime: Runtime;
+  lease: Lease;
+  worker: WorkerEntry;
+  dialect: Dialect;
+  plan: ForwardRequest;
+  body: Uint8Array;
+  /** Time until the request's deadline. */
+  left: Microseconds;
+  /** Id of the last event that the client has; null for a new stream. */
+  lastEvent: string | null;
+  /** The client's response, watched for disconnection. */
+  client: HttpResponseWriter;
+  sink: StreamSink;
+  /** Size limit in bytes of a response that is not a stream, which is buffered as a whole. */
+  maxBodySize: number;
+};
+/** An exchange in progress. */
+type Progress = {
+  options: ExchangeOptions;
+  /** Takes the outcome; only the first call has an effect. `reusable`: the connection may serve another exchange. */
+  finish: (outcome: Outcome, reusable: boolean) => void;
+  over: boolean;
+  sent: boolean;
+  /** Part of the stream has been relayed. */
+  streaming: boolean;
+  /** The worker waits until the client has read what it was sent. */
+  heldUp: boolean;
+  reader: EventReader;
+  response: { status: number; rawHeaders: readonly string[]; head: WorkerResponseHead } | undefined;
+  /** The body of a response that is not a stream. */
+  body: AnswerBody | undefined;
+  control: ExchangeControl | undefined;
+};
+
+const open = (options: ExchangeOptions, resolve: (outcome: Outcome) => void): Progress => {
+  const { runtime, lease } = options;
+  const finish = (outcome: Outcome, reusable: boolean): void => {
+    if (progress.over) return;
+    progress.over = true;
+    stopTimer();
+    if (outcome.type !== 'answer') progress.body?.release();
+    if (reusable) lease.done(progress.response?.head.keepAlive ?? null);
+    else {
+      lease.discard();
+      progress.control?.abort();
+    }
+    resolve(outcome);
+  };
+  const progress: Progress = {
+    options,
+    finish,
+    over: false,
+    sent: false,
+    streaming: false,
+    heldUp: false,
+    reader: events.reader(),
+    response: undefined,
+    body: undefined,
+    control: undefined,
+  };
+  const stopTimer = runtime.clock.schedule(options.left + overrun, () => fail(progress, 'the deadline passed'));
+  return progress;
+};
+const fail = ({ sent, streaming, finish }: Progress, why: string): void =>
+  finish(
+    sent ? (streaming ? { type: 'cut', why } : { type: 'lost', why }) : { type: 'unsent', why, workerDown: true },
+    false,
+  );
+
+const isStream = ({ options, response }: Progress): boolean =>
+  options.plan.route.semantics === 'stream' && response!.head.success;
+const openBody = (progress: Progress, contentLength: string | undefined): AnswerBody =>
+  answerBody.open({
+    declaredLength: contentLength === undefined ? undefined : Number(contentLength),
+    maxLength: progress.options.maxBodySize,
+    client: progress.options.client,
+    pause: () => progress.control?.pause(),
+    resume: () => progress.control?.resume(),
+  });
+const onHead = (
+  progress: Progress,
+  status: number,
+  headers: Record<string, string>,
+  rawHeaders: readonly string[],
+): void => {
+  const { dialect, plan } = progress.options;
+  const head = dialect.responseHead(plan, status, headers);
+  if (!head.matchesAttempt) return fail(progress, 'the response names another attempt');
+  if (head.unsound) return fail(progress, 'the response lacks a required header or has a content encoding');
+  progress.response = { status, rawHeaders, head };
+  progress.streaming = false;
+  if (!isStream(progress)) progress.body = openBody(progress, headers['content-length']);
+};
+
+const holdUp = (progress: Progress): void => {
+  if (progress.heldUp) return;
+  progress.heldUp = true;
+  progress.control?.pause();
+  void progress.options.sink.drained().then(() => {
+    progress.heldUp = false;
+    progress.control?.resume();
+  });
+};
+/** Relays the head of a stream, unless it was relayed already. */
+const startStream = (progress: Progress): void => {
+  if (progress.streaming) return;
+  progress.streaming = true;
+  const { status, rawHeaders } = progress.response!;
+  progress.options.sink.head(status, progress.options.dialect.clientHeaders(rawHeaders));
+};
+const onEvents = (progress: Progress, bytes: Uint8Array): void => {
+  for (const event of progress.reader.push(bytes)) {
+    startStream(progress);
+    if (progress.over) return;
+    if (!progress.options.sink.event(event)) holdUp(progress);
+  }
+  if (progress.reader.rest().length > maxEventBytes) fail(progress, 'an event of the stream is too large');
+};
+const onData = (progress: Progress, bytes: Uint8Array): void => {
+  if (progress.over || !progress.response) return;
+  if (isStream(progress)) return onEvents(progress, bytes);
+  if (progress.body && !progress.body.push(bytes))
+    fail(progress, 'the response is too large, or comes in too many pieces');
+};
+const onEnd = (progress: Progress): void => {
+  const { response, body, finish } = progress;
+  if (!response) return fail(progress, 'the connection ended without a response head');
+  const { status, rawHeaders, head } = response;
+  // `wrongInstance`: another worker has this address; the intended one has ended and did not get the request.
+  if (head.notRun) return finish({ type: 'unsent', why: `status ${status}`, workerDown: head.wrongInstance }, true);
+  if (isStream(progress)) {
+    startStream(progress);
+    return finish({ type: 'streamed', rest: progress.reader.rest() }, true);
+  }
+  const answer: Outcome = {
+    type: 'answer',
+    status,
+    headers: progress.options.dialect.clientHeaders(rawHeaders),
+    body: body?.bytes() ?? Buffer.alloc(0),
+    release: () => body?.release(),
+    load: head.load,
+  };
+  finish(answer, true);
+};
+
+const send = (progress: Progress): ExchangeControl => {
+  const { lease, plan, dialect, worker, body, left, lastEvent } = progress.options;
+  const headers = dialect.requestHeaders(plan, { instance: worker.id, left, lastEvent, length: body.length });
+  return lease.connection.exchange(
+    { method: plan.method, target: plan.target, headers, body },
+    {
+      onSent: () => {
+        progress.sent = true;
+      },
+      onHead: (status, fields, rawHeaders) => onHead(progress, status, fields, rawHeaders),
+      onData: (bytes) => onData(progress, bytes),
+      onEnd: () => onEnd(progress),
+      onError: (error) => fail(progress, error.message),
+    },
+  );
+};
+
 /** Runs exchanges with workers. */
 export const exchange = {
   /** Sends a request over the lease's connection and resolves with the outcome. */
-  run: (options: {
-    runtime: Runtime;
-    lease: Lease;
-    worker: WorkerEntry;
-    dialect: Dialect;
-    plan: ForwardRequest;
-    body: Uint8Array;
-    /** Time until the request's deadline. */
-    left: Microseconds;
-    /** Id of the last event that the client has; null for a new stream. */
-    lastEvent: string | null;
-    /** The client's response, watched for disconnection. */
-    client: HttpResponseWriter;
-    sink: StreamSink;
-    /** Size limit in bytes of a response that is not a stream, which is buffered as a whole. */
-    maxBodySize: number;
-  }): Promise<Outcome> =>
+  run: (options: ExchangeOptions): Promise<Outcome> =>
     new Promise((resolve) => {
-      const { runtime, lease, plan, dialect } = options;
-      let sent = false;
-      let over = false;
-      let streaming = false;
-      let response: { status: number; rawHeaders: readonly string[]; head: WorkerResponseHead } | undefined;
-      let body: AnswerBody | undefined;
-      const reader = events.reader();
-      let paused = false;
-      const finish = (outcome: Outcome, reusable: boolean): void => {
-        if (over) return;
-        over = true;
-        stopTimer();
-        if (outcome.type !== 'answer') body?.release();
-        if (reusable) lease.done(response?.head.keepAlive ?? null);
-        else {
-          lease.discard();
-          control?.abort();
-        }
-        resolve(outcome);
-      };
-      const fail = (why: string): void =>
-        finish(
-          sent ? (streaming ? { type: 'cut', why } : { type: 'lost', why }) : { type: 'unsent', why, workerDown: true },
-          false,
-        );
-      const stopTimer = runtime.clock.schedule(options.left + overrun, () => fail('the deadline passed'));
-      const openBody = (contentLength: string | undefined): AnswerBody =>
-        answerBody.open({
-          declaredLength: contentLength === undefined ? undefined : Number(contentLength),
-          maxLength: options.maxBodySize,
-          client: options.client,
-          pause: () => control?.pause(),
-          resume: () => control?.resume(),
-        });
-      const onHead = (status: number, headers: Record<string, string>, rawHeaders: readonly string[]): void => {
-        const head = dialect.responseHead(plan, status, headers);
-        if (!head.matchesAttempt) return fail('the response names another attempt');
-        if (head.unsound) return fail('the response lacks a required header or has a content encoding');
-        response = { status, rawHeaders, head };
-        streaming = false;
-        if (!isStream()) body = openBody(headers['content-length']);
-      };
-      /** Holds the worker up until the client has read what it was sent. */
-      const holdUp = (): void => {
-        if (paused) return;
-        paused = true;
-        control?.pause();
-        void options.sink.drained().then(() => {
-          paused = false;
-          control?.resume();
-        });
-      };
-      const onEvents = (bytes: Uint8Array): void => {
-        for (const event of reader.push(bytes)) {
-          if (!streaming) {
-            streaming = true;
-            options.sink.head(response!.status, dialect.clientHeaders(response!.rawHeaders));
-          }
-          if (over) return;
-          if (!options.sink.event(event)) holdUp();
-        }
-        if (reader.rest().length > maxEventBytes) fail('an event of the stream is too large');
-      };
-      const isStream = (): boolean => plan.route.semantics === 'stream' && response!.head.success;
-      const onData = (bytes: Uint8Array): void => {
-        if (over || !response) return;
-        if (isStream()) return onEvents(bytes);
-        if (body && !body.push(bytes)) fail('the response is too large, or comes in too many pieces');
-      };
-      const onEnd = (): void => {
-        if (!response) return fail('the connection ended without a response head');
-        // `wrongInstance`: another worker has this address; the intended one has ended and did not get the request.
-        const { notRun, wrongInstance } = response.head;
-        if (notRun)
-          return finish({ type: 'unsent', why: `status ${response.status}`, workerDown: wrongInstance }, true);
-        if (isStream()) {
-          if (!streaming) options.sink.head(response.status, dialect.clientHeaders(response.rawHeaders));
-          streaming = true;
-          return finish({ type: 'streamed', rest: reader.rest() }, true);
-        }
-        const headers = dialect.clientHeaders(response.rawHeaders);
-        finish(
-          {
-            type: 'answer',
-            status: response.status,
-            headers,
-            body: body?.bytes() ?? Buffer.alloc(0),
-            release: () => body?.release(),
-            load: response.head.load,
-          },
-          true,
-        );
-      };
-      const control: ExchangeControl | undefined = lease.connection.exchange(
-        {
-          method: plan.method,
-          target: plan.target,
-          headers: dialect.requestHeaders(plan, {
-            instance: options.worker.id,
-            left: options.left,
-            lastEvent: options.lastEvent,
-            length: options.body.length,
-          }),
-          body: options.body,
-        },
-        {
-          onSent: () => {
-            sent = true;
-          },
-          onHead: onHead,
-          onData: onData,
-          onEnd: onEnd,
-          onError: (error) => fail(error.message),
-        },
-      );
+      const progress = open(options, resolve);
+      const { finish } = progress;
+      progress.control = send(progress);
       options.client.onClose(() => {
         // A keyed request runs on: its result is recorded for a repeat with the same key.
-        if (!over && plan.key === null) finish({ type: 'gone' }, false);
+        if (!progress.over && options.plan.key === null) finish({ type: 'gone' }, false);
       });
     }),
 };
--- a/packages/service-catalog/src/index.ts
+++ b/packages/service-catalog/src/index.ts
@@ -55,17 +55,23 @@
   });
 };
 
+/** Of the response head and of a pause in the body, each. */
+const readTimeout = duration.ms(700);
+/** Of the whole response. */
+const totalTimeout = duration.ms(1400);
+/** In characters. */
+const maxListLength = 4 << 20;
 /** Reads the list in this project's own format by `GET /workers`. Throws on a status other than 200 or no list. */
 const fetchWorkers = async (runtime: Runtime, platform: Address): Promise<PlatformWorker[]> => {
-  const timeout = duration.ms(700);
   const response = await runtime.net.request({
     at: platform,
     method: 'GET',
     path: '/workers',
-    headersTimeout: timeout,
-    bodyTimeout: timeout,
+    headersTimeout: readTimeout,
+    bodyTimeout: readTimeout,
+    totalTimeout,
   });
-  const list = parseWorkers(await readText(response.body));
+  const list = parseWorkers(await readText(response.body, maxListLength));
   if (response.status !== 200) throw new Error(`unexpected status ${response.status}`);
   return list;
 };
--- a/tools/test-harness/test/limits.test.ts
+++ b/tools/test-harness/test/limits.test.ts
@@ -14,7 +14,7 @@
 /** Number of files that are over each limit. Lower a number when files leave the list; never raise it. */
 const allowed: Record<string, number> = {
   'max-lines': 3,
-  'max-lines-per-function': 28,
+  'max-lines-per-function': 27,
   'id-length': 0,
   'jsdoc/require-jsdoc': 0,
 };
