--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -1,11 +1,11 @@
-// A store loses its disk while the stores hold turns of 100,000 bytes, the largest of the site file.
+// Two stores lose their disks, one after the other has caught up, while the stores hold turns of 100,000 bytes each.
 import { call, host, newId, runCase, sleep, turnHeaders } from '../lib-2/deployment.mjs';
 
 const trouble = process.env.TROUBLE !== '0';
-const inputBytes = Number(process.env.SIZE ?? 100_000);
-const turnsPerSecond = Number(process.env.RATE ?? 20);
-const fillSeconds = Number(process.env.FILL ?? 56);
-const wipes = Number(process.env.WIPES ?? 1);
+const inputBytes = 100_000;
+const turnsPerSecond = 20;
+const fillSeconds = 50;
+const wipes = 2;
 /** Bounds and doses of the pages, in milliseconds. */
 const [downMs, catchUpMs, recoverMs] = [2000, 4800, 12_000];
 const checkSeconds = 8;
@@ -50,7 +50,7 @@
       record(`${slot.name} loses its disk`);
       await deployment.wipe(slot, downMs);
       record(`${slot.name} is started again with an empty disk`);
-      if (slot !== deployment.of('store')[wipes - 1]) await sleep(catchUpMs);
+      if (slot !== deployment.of('store')[wipes - 1]) await sleep(catchUpMs + 500);
     }
   const back = Date.now();
   while (Date.now() - back < recoverMs) await sleep(100);
