--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -29,7 +29,7 @@
   throw new Error('no free network');
 };
 
-const settingsText = ({ machine, role, seeds, firstStart, cloudApi, folder }) => {
+const settingsText = ({ machine, role, seeds, firstStart, cloudApi, folder, tolerates }) => {
   const binds = {
     gateway: `Front = "${machine.ip}:${ports.front}"\nReadiness = "${machine.ip}:${ports.readiness}"`,
     coordinator: `Control = "${machine.ip}:${ports.control}"`,
@@ -63,7 +63,7 @@
 LinkMbps = 1000.0
 DiskMb = ${{ edge: 0, storage: 500, core: 128 }[machine.class]}
 [Tolerates]
-Machines = 1
+Machines = ${tolerates}
 Zones = 0
 Regions = 0
 [Bounds]
@@ -325,6 +325,7 @@
   slots = 16,
   workMs = 20,
   spareStores = 0,
+  tolerates = 1,
   onEnd = () => undefined,
   peers,
 } = {}) => {
@@ -382,6 +383,7 @@
         firstStart: slot.starts === 0 && !slot.late,
         cloudApi,
         folder,
+        tolerates,
       }),
     );
     const [program, ...args] = deploy.roles[slot.role].run.split(' ');
