SIGHUP is the last signal that a process takes, so that catching it shows that it takes all

Cause: the program took SIGHUP first, and Node.js itself catches SIGTERM from its start. A process that was frozen between the two seemed to catch both, while SIGTERM still had Node.js' handler, which ends the process by the signal. The wait of the test is unchanged: it asks for SIGHUP, which now comes last, and SIGTERM. Test: packages/runtime/test/signals.test.ts stalls between the registrations.

--- a/packages/runtime/src/signals.ts
+++ b/packages/runtime/src/signals.ts
@@ -7,7 +7,8 @@
 /** Terminate in order (SIGTERM, SIGINT), and reload the settings (SIGHUP). */
 export type DaemonSignal = 'SIGHUP' | 'SIGTERM' | 'SIGINT';
 
-const daemonSignals: readonly DaemonSignal[] = ['SIGHUP', 'SIGTERM', 'SIGINT'];
+/** SIGHUP is last: Node.js itself catches the others from its start, so a process that catches SIGHUP takes all. */
+const daemonSignals: readonly DaemonSignal[] = ['SIGTERM', 'SIGINT', 'SIGHUP'];
 const handlers = new Map<DaemonSignal, () => void>();
 const waiting = new Set<DaemonSignal>();
 
