Frames that wait for slow peers are bounded in bytes for all peers together

Cause: each peer that does not read may have 8 MiB waiting, whatever the others have: a store with long values and a dozen slow peers holds 96 MiB. Change: beyond 24 MiB for all peers, a frame to a peer with 256 KiB or more waiting is dropped, as one beyond 8 MiB is; other peers get theirs.

--- a/packages/runtime/src/frames.ts
+++ b/packages/runtime/src/frames.ts
@@ -13,6 +13,10 @@
 const lengthBytes = 4;
 /** Bytes buffered for a slow peer; further frames to it are dropped. */
 const maxBufferedBytes = 8 << 20;
+/** Bytes buffered for all peers together; beyond them, further frames to peers with a backlog are dropped. */
+const maxTotalBufferedBytes = 24 << 20;
+/** A peer for which this many bytes are buffered has a backlog. */
+const backlogBytes = 256 << 10;
 /** A connection without traffic is closed after this time. */
 const idleTimeoutMs = 30_000;
 /** Further incoming connections are closed, so that descriptors are left for files and outgoing connections. */
@@ -139,10 +143,17 @@
     write(socket, self);
     return socket;
   };
+  const totalBuffered = (): number => {
+    let total = 0;
+    for (const socket of outgoing.values()) total += socket.writableLength;
+    return total;
+  };
+  const mayBuffer = ({ writableLength }: net.Socket): boolean =>
+    writableLength < backlogBytes || (writableLength < maxBufferedBytes && totalBuffered() < maxTotalBufferedBytes);
   const send: FrameTransport['send'] = (peer, text) => {
     const existing = outgoing.get(peer);
     const socket = !existing || existing.destroyed ? connect(peer) : existing;
-    if (socket.writableLength < maxBufferedBytes) write(socket, text);
+    if (mayBuffer(socket)) write(socket, text);
   };
   const close = (): Promise<void> =>
     new Promise((closed) => {
