--- a/packages/config-schema/src/index.ts
+++ b/packages/config-schema/src/index.ts
@@ -351,7 +351,7 @@
         ...['place', 'http', 'zone', 'seeds', 'name', 'data', 'beatMs'],
         ...['founders', 'possibleFounders', 'tolerates', 'leastStores'],
       ],
-      store: ['place', 'http', 'zone', 'seeds', 'name', 'data', 'beatMs'],
+      store: ['place', 'http', 'zone', 'seeds', 'name', 'data', 'dataMb', 'beatMs'],
       agent: ['place', 'http', 'zone', 'seeds', 'name', 'beatMs', 'platform'],
       gateway: ['place', 'http', 'zone', 'seeds', 'name', 'beatMs', 'agent'],
     })[role],
--- a/packages/config-schema/src/role-options.ts
+++ b/packages/config-schema/src/role-options.ts
@@ -4,6 +4,8 @@
 
 /** Milliseconds between two heartbeats to a watcher; a node that misses five of them counts as silent (§3.2). */
 const beatMs = integer(20, 10_000);
+/** Space for the data folder of a store, in megabytes (§6.1). */
+const dataMb = integer(16, 1_000_000);
 /** Options of every process with a data folder; `place` is its address for other nodes. */
 const processOptions = {
   place: addressCodec,
@@ -28,7 +30,7 @@
     },
     { ...commonDefaults, founders: [], possibleFounders: [], tolerates: 1, leastStores: 0 },
   ),
-  store: strictObject('store options', processOptions, commonDefaults),
+  store: strictObject('store options', { ...processOptions, dataMb }, { ...commonDefaults, dataMb: 1000 }),
   agent: strictObject(
     'agent options',
     {
--- a/packages/data-plane/src/forward/charge.ts
+++ b/packages/data-plane/src/forward/charge.ts
@@ -1,6 +1,6 @@
 /**
- * What a turn needs before it is scheduled: the stored turns that it continues (§5.9), and its largest output reserved
- * in the program's budget (§5.3).
+ * What a turn needs before it is scheduled: space for it in the stores and the stored turns that it continues (§5.9),
+ * and its largest output reserved in the program's budget (§5.3).
  */
 import { fault } from '@thornsail/runtime';
 import type { BudgetAccount } from '../records/budget-accounts.js';
@@ -18,6 +18,13 @@
 /** The key of the scheduler's unit, which is one session of a program (§4.3). */
 export const sessionKey = (turn: Turn): string => `${turn.program}/${turn.session}`;
 
+/** Refuses a turn that could not be stored at its end, before a worker has run it. */
+export const checkSpace = (request: Request): StepResult => {
+  const { plan, forwarding } = request;
+  if (plan.route.keepSeconds === 0 || forwarding.turns.hasSpace()) return 'continue';
+  return requests.storesUnavailable(request, 'the stores have no space for another turn');
+};
+
 /** Assembles the whole prompt of a turn that continues another one (§5.9). */
 export const readChain = async (request: Request): Promise<StepResult> => {
   const { plan, context, forwarding } = request;
--- a/packages/data-plane/src/forward/forward.ts
+++ b/packages/data-plane/src/forward/forward.ts
@@ -3,7 +3,7 @@
  * admission, slot, send, end. A turn of a program goes through all stages, a tool call through some.
  */
 import { invariant, duration, type HttpResponseWriter, type Microseconds } from '@thornsail/runtime';
-import { charge, readChain } from './charge.js';
+import { charge, checkSpace, readChain } from './charge.js';
 import { claim } from './claim.js';
 import { admit, takeSlot } from './admission.js';
 import type { ForwardRequest } from './plan.js';
@@ -35,7 +35,7 @@
 };
 
 const runStages = async (request: Request): Promise<void> => {
-  for (const stage of [claim, readChain, charge, admit]) {
+  for (const stage of [claim, checkSpace, readChain, charge, admit]) {
     if ((await stage(request)) === 'answered') return;
     if (request.response.isClosed()) return void requests.clientDisconnected(request);
   }
--- a/packages/data-plane/src/forward/stored-turns.ts
+++ b/packages/data-plane/src/forward/stored-turns.ts
@@ -20,6 +20,8 @@
   chain: (last: string, timeout: Microseconds) => Promise<Chain | undefined>;
   /** Resolves once a majority has stored the turn. */
   store: (id: string, turn: StoredTurn, keepSeconds: number, timeout: Microseconds) => Promise<void>;
+  /** Whether the stores take new turns. */
+  hasSpace: () => boolean;
   /** Size of the cache in bytes. */
   bytes: () => number;
 };
@@ -106,7 +108,7 @@
       .map((ancestor) => retain(ancestor, span, timeout));
     await Promise.all([retain(id, span, timeout, turn), ...extensions]);
   };
-  return { chain, store, bytes: () => cache.size() };
+  return { chain, store, hasSpace: registers.hasSpace, bytes: () => cache.size() };
 };
 
 /** Opens one gateway's access to the stored turns. */
--- a/packages/data-plane/src/warm-up/memory-disk.ts
+++ b/packages/data-plane/src/warm-up/memory-disk.ts
@@ -20,6 +20,11 @@
     },
     syncExisting: () => done,
     read: (name) => Promise.resolve(files.get(name)),
+    readPart: (name, offset, length) => {
+      const part = Buffer.from(files.get(name) ?? '').subarray(offset, offset + length);
+      return Promise.resolve(part.length === length ? part.toString() : undefined);
+    },
+    size: (name) => Promise.resolve(files.has(name) ? Buffer.byteLength(files.get(name)!) : undefined),
     list: () => Promise.resolve([...files.keys()].sort()),
     remove: (name) => {
       files.delete(name);
--- a/packages/durable-files/src/batch-writer.ts
+++ b/packages/durable-files/src/batch-writer.ts
@@ -3,7 +3,7 @@
  * batch, with one sync. Batch numbers have no gaps; the files are created in advance (batch-reservation.ts).
  */
 import type { BatchReservation } from './batch-reservation.js';
-import { recordFormat, type StoredRecord } from './record-format.js';
+import { recordFormat, type LinePlace, type StoredRecord } from './record-format.js';
 import type { RecordFolder } from './record-folder.js';
 
 /**
@@ -11,6 +11,7 @@
  * acknowledged by the same sync.
  */
 type PendingChange<T> = {
+  /** Undefined if the key is removed. */
   value: T | undefined;
   /** The change as a line of the batch file. */
   line: string;
@@ -44,11 +45,17 @@
 };
 
 /** Adds the records of a synced batch to the table. */
-const applyBatch = <T>({ table, next, counters }: RecordFolder<T>, batch: PendingChanges<T>): void => {
+const applyBatch = <T, R>(folder: RecordFolder<T, R>, batch: PendingChanges<T>, places: LinePlace[]): void => {
+  const { table, next, counters, residency, recent } = folder;
   const file = table.addFile('batch', next.batch);
-  for (const [key, { value, line }] of batch) {
-    const record: StoredRecord<T> = { key, batch: next.batch, ...(value === undefined ? {} : { value }) };
-    table.add(record, file, line.length);
+  for (const [i, [key, { value }]] of [...batch].entries()) {
+    const place = places[i]!;
+    const record: StoredRecord<R> = { key, batch: next.batch };
+    if (value !== undefined) {
+      record.value = residency.toResident(value, place.bytes);
+      if (residency.toWhole(record.value) === undefined) recent.set(key, next.batch, value, place.bytes);
+    }
+    table.add(record, file, place);
   }
   next.batch += 1;
   counters.batches += 1;
@@ -56,8 +63,8 @@
 };
 
 /** Opens the writer of a folder. `onBatch` is called after each batch, whether its write succeeded or failed. */
-export const openBatchWriter = <T>(
-  folder: RecordFolder<T>,
+export const openBatchWriter = <T, R>(
+  folder: RecordFolder<T, R>,
   reservation: BatchReservation,
   onBatch: () => void,
 ): BatchWriter<T> => {
@@ -68,15 +75,23 @@
   const commitBatch = async (): Promise<void> => {
     const name = recordFormat.fileName('batch', next.batch);
     let batch: PendingChanges<T> | undefined;
+    let places: LinePlace[] = [];
+    const sealBatch = (): string => {
+      batch = take();
+      const lines = [...batch.values()].map(({ line }) => line);
+      const text = recordFormat.seal(lines);
+      places = recordFormat.linePlaces(text, lines);
+      return text;
+    };
     try {
       await reservation.ensureReserved(next.batch);
-      await disk.writeReserved(name, () => recordFormat.seal([...(batch = take()).values()].map(({ line }) => line)));
+      await disk.writeReserved(name, sealBatch);
     } catch (error) {
       for (const { reject } of (batch ?? take()).values())
         for (const rejectCaller of reject) rejectCaller(error as Error);
       return;
     }
-    applyBatch(folder, batch!);
+    applyBatch(folder, batch!, places);
     reservation.replenish(next.batch);
     for (const { resolve } of batch!.values()) for (const resolveCaller of resolve) resolveCaller();
   };
@@ -93,9 +108,10 @@
     write: (key, value) =>
       new Promise((resolve, reject) => {
         const previous = pending.get(key);
+        const line = recordFormat.batchLine(key, value, codec);
         pending.set(key, {
           value,
-          line: recordFormat.batchLine(key, value, codec),
+          line,
           resolve: [...(previous?.resolve ?? []), resolve],
           reject: [...(previous?.reject ?? []), reject],
         });
--- a/packages/durable-files/src/legacy-documents.ts
+++ b/packages/durable-files/src/legacy-documents.ts
@@ -9,7 +9,7 @@
 type Piece<T> = { key: string; value: T; line: string }[];
 
 /** Splits the records into pieces of at most `pieceBytes` characters, with at least one record each. */
-const splitIntoPieces = <T>({ limits, codec }: RecordFolder<T>, records: ReadonlyMap<string, T>): Piece<T>[] => {
+const splitIntoPieces = <T, R>({ limits, codec }: RecordFolder<T, R>, records: ReadonlyMap<string, T>): Piece<T>[] => {
   const pieces: Piece<T>[] = [];
   let bytes = Infinity;
   for (const [key, value] of records) {
@@ -28,16 +28,22 @@
  * Writes the records into base files. Only the header of the last one lists them, so that none takes effect before all
  * are written. Fails as `Disk.writeDocument` does.
  */
-export const moveLegacyRecords = async <T>(folder: RecordFolder<T>, records: ReadonlyMap<string, T>): Promise<void> => {
-  const { disk, table, next } = folder;
+export const moveLegacyRecords = async <T, R>(
+  folder: RecordFolder<T, R>,
+  records: ReadonlyMap<string, T>,
+): Promise<void> => {
+  const { disk, table, next, residency } = folder;
   const pieces = splitIntoPieces(folder, records);
   const firstNumber = next.base;
   for (const [i, piece] of pieces.entries()) {
     const baseFiles = i === pieces.length - 1 ? pieces.map((_, j) => firstNumber + j) : [];
     const lines = piece.map(({ line }) => line);
-    await writeBaseFile(disk, next.base, { lastMergedBatch: 0, baseFiles }, lines);
+    const places = await writeBaseFile(disk, next.base, { lastMergedBatch: 0, baseFiles }, lines);
     const file = table.addFile('base', next.base++);
-    for (const { key, value, line } of piece) table.add({ key, batch: 0, value }, file, line.length);
+    for (const [j, { key, value }] of piece.entries()) {
+      const resident = residency.toResident(value, places[j]!.bytes);
+      table.add({ key, batch: 0, value: resident }, file, places[j]!);
+    }
   }
 };
 
--- a/packages/durable-files/src/record-format.ts
+++ b/packages/durable-files/src/record-format.ts
@@ -17,6 +17,15 @@
 type HeaderDocument = { upTo: number; parts: number[] };
 /** Converts values between their form in memory and their JSON form in files. */
 export type ValueCodec<T> = { encode: (value: T) => unknown; decode: (stored: unknown) => T };
+/** Decides what of a value `T` stays in memory, as `R`, while the whole value is in a file. */
+export type Residency<T, R> = {
+  /** `bytes` is the size of the value's record in its file. */
+  toResident: (value: T, bytes: number) => R;
+  /** Returns the whole value if all of it stays in memory; undefined if it has to be read from its file. */
+  toWhole: (resident: R) => T | undefined;
+};
+/** Where the line of a record is in its file, in bytes. */
+export type LinePlace = { offset: number; bytes: number };
 const filePrefixes: Record<RecordFileKind, string> = { batch: 'b', base: 'base' };
 const fileNumberPattern = /^\d{12}$/;
 const format = checksummedFormat((content) => crc32(content));
@@ -40,6 +49,15 @@
   /** Returns the lines of a file; undefined if it is missing, torn or corrupted. */
   unseal: (raw: string | undefined): string[] | undefined =>
     raw === undefined ? undefined : format.unseal(raw)?.split('\n'),
+  /** Returns the place of each line of a sealed file, whose text is `raw`. */
+  linePlaces: (raw: string, lines: string[]): LinePlace[] => {
+    let offset = raw.indexOf('\n') + 1;
+    return lines.map((line) => {
+      const place = { offset, bytes: Buffer.byteLength(line) };
+      offset += place.bytes + 1;
+      return place;
+    });
+  },
   headerLine: ({ lastMergedBatch, baseFiles }: BaseHeader): string =>
     JSON.stringify({ upTo: lastMergedBatch, parts: baseFiles } satisfies HeaderDocument),
   readHeaderLine: (line: string): BaseHeader => {
@@ -55,6 +73,11 @@
   },
   baseLine: <T>({ key, batch, value }: StoredRecord<T>, codec: ValueCodec<T>): string =>
     JSON.stringify(value === undefined ? [key, batch] : [key, batch, codec.encode(value)]),
+  /** Converts the line of a batch file with a value to that of a base file, without decoding the value. */
+  baseLineFromBatchLine: (line: string, key: string, batch: number): string => {
+    const start = `[${JSON.stringify(key)}`;
+    return `${start},${batch}${line.slice(start.length)}`;
+  },
   readBaseLine: <T>(line: string, codec: ValueCodec<T>): StoredRecord<T> => {
     const [key, batch, value] = JSON.parse(line) as [string, number, unknown?];
     return storedRecord(key, batch, value === undefined ? undefined : codec.decode(value));
--- a/packages/durable-files/src/record-loader.ts
+++ b/packages/durable-files/src/record-loader.ts
@@ -1,48 +1,89 @@
 /** Loads the record files of a folder at startup, and distinguishes a torn last batch from a damaged folder (§6.1). */
+import { openMemoryBudget, withMemory, type Disk, type MemoryBudget } from '@thornsail/runtime';
 import type { BatchReservation } from './batch-reservation.js';
 import { forEachConcurrent } from './for-each-concurrent.js';
 import { removeRecordFile, type RecordFolder } from './record-folder.js';
-import { recordFormat, type BaseHeader, type RecordFileKind } from './record-format.js';
+import { recordFormat, type BaseHeader, type LinePlace, type StoredRecord } from './record-format.js';
+import type { RecordFile } from './record-table.js';
 
-/** Files read concurrently; low, because each is held in memory whole while it is read. */
-const concurrentReads = 8;
+/** Files read or removed concurrently. */
+const concurrentFiles = 8;
+/** Files that are held in memory while they are loaded, in bytes; a larger one is loaded alone. */
+const loadMemory = 8 << 20;
 
-const readLines = async <T>(
-  { disk }: RecordFolder<T>,
-  kind: RecordFileKind,
-  number: number,
-): Promise<string[] | undefined> => recordFormat.unseal(await disk.read(recordFormat.fileName(kind, number)));
+/** The lines of a valid record file, with their places. */
+type FileLines = { lines: string[]; places: LinePlace[] };
+
+/** What was read of a file: `content` is undefined if the file is missing, torn or corrupted. */
+type LoadedFile = { isEmpty: boolean; content: FileLines | undefined };
+
+/** Reads a file once there is memory for it, and passes it to `use`, after which its memory is free again. */
+const useFile = async <R>(disk: Disk, memory: MemoryBudget, name: string, use: (file: LoadedFile) => R): Promise<R> => {
+  const size = (await disk.size(name)) ?? 0;
+  return withMemory(memory, size, async () => {
+    const raw = await disk.read(name);
+    const lines = recordFormat.unseal(raw);
+    const content = raw !== undefined && lines ? { lines, places: recordFormat.linePlaces(raw, lines) } : undefined;
+    return use({ isEmpty: raw === '', content });
+  });
+};
+
+/** Adds the records of a file to the table, from line `first` on. */
+const addLines = <T, R>(
+  { table, residency }: RecordFolder<T, R>,
+  file: RecordFile,
+  { lines, places }: FileLines,
+  first: number,
+  readLine: (line: string) => StoredRecord<T>,
+): void => {
+  for (let i = first; i < lines.length; i++) {
+    const { key, batch, value } = readLine(lines[i]!);
+    const place = places[i]!;
+    const resident = value === undefined ? {} : { value: residency.toResident(value, place.bytes) };
+    table.add({ key, batch, ...resident }, file, place);
+  }
+};
 
 /** Loads the live base files into the table; undefined if one is missing or damaged. */
-const loadBases = async <T>(folder: RecordFolder<T>, files: string[]): Promise<BaseHeader | undefined> => {
-  const { table, next, codec } = folder;
+const loadBases = async <T, R>(
+  folder: RecordFolder<T, R>,
+  memory: MemoryBudget,
+  files: string[],
+): Promise<BaseHeader | undefined> => {
+  const { disk, table, next, codec } = folder;
+  const nameOf = (number: number): string => recordFormat.fileName('base', number);
   const last = recordFormat.fileNumbers(files, 'base').pop();
   next.base = (last ?? 0) + 1;
   if (last === undefined) return { lastMergedBatch: 0, baseFiles: [] };
-  const headerLine = (await readLines(folder, 'base', last))?.[0];
+  const headerLine = await useFile(disk, memory, nameOf(last), ({ content }) => content?.lines[0]);
   if (headerLine === undefined) return undefined;
   const header = recordFormat.readHeaderLine(headerLine);
   let isValid = true;
-  await forEachConcurrent(header.baseFiles, concurrentReads, async (number) => {
-    const lines = await readLines(folder, 'base', number);
-    if (!lines) isValid = false;
-    const file = table.addFile('base', number);
-    for (const line of lines?.slice(1) ?? []) table.add(recordFormat.readBaseLine(line, codec), file, line.length);
+  await forEachConcurrent(header.baseFiles, concurrentFiles, async (number) => {
+    await useFile(disk, memory, nameOf(number), ({ content }) => {
+      if (!content) isValid = false;
+      const file = table.addFile('base', number);
+      if (content) addLines(folder, file, content, 1, (line) => recordFormat.readBaseLine(line, codec));
+    });
   });
   return isValid ? header : undefined;
 };
 
 /** Loads these batches into the table; returns, by batch number, whether its file is empty. */
-const readBatches = async <T>(folder: RecordFolder<T>, batches: number[]): Promise<Map<number, { empty: boolean }>> => {
+const readBatches = async <T, R>(
+  folder: RecordFolder<T, R>,
+  memory: MemoryBudget,
+  batches: number[],
+): Promise<Map<number, { empty: boolean }>> => {
   const { disk, table, codec } = folder;
   const batchFiles = new Map<number, { empty: boolean }>();
-  await forEachConcurrent(batches, concurrentReads, async (batch) => {
-    const raw = await disk.read(recordFormat.fileName('batch', batch));
-    const lines = recordFormat.unseal(raw);
-    batchFiles.set(batch, { empty: raw === '' });
-    if (!lines) return;
-    const file = table.addFile('batch', batch);
-    for (const line of lines) table.add(recordFormat.readBatchLine(line, batch, codec), file, line.length);
+  await forEachConcurrent(batches, concurrentFiles, async (batch) => {
+    await useFile(disk, memory, recordFormat.fileName('batch', batch), ({ isEmpty, content }) => {
+      batchFiles.set(batch, { empty: isEmpty });
+      if (!content) return;
+      const file = table.addFile('batch', batch);
+      addLines(folder, file, content, 0, (line) => recordFormat.readBatchLine(line, batch, codec));
+    });
   });
   return batchFiles;
 };
@@ -52,15 +93,16 @@
  * after it are reservations. That last file may be torn: its batch was not acknowledged then. Returns false if any
  * other file is missing or damaged.
  */
-const loadBatches = async <T>(
-  folder: RecordFolder<T>,
+const loadBatches = async <T, R>(
+  folder: RecordFolder<T, R>,
+  memory: MemoryBudget,
   reservation: BatchReservation,
   files: string[],
   lastMerged: number,
 ): Promise<boolean> => {
   const { disk, limits, table, next } = folder;
   const batches = recordFormat.fileNumbers(files, 'batch').filter((batch) => batch > lastMerged);
-  const batchFiles = await readBatches(folder, batches);
+  const batchFiles = await readBatches(folder, memory, batches);
   const last = Math.max(lastMerged, ...batches.filter((batch) => !batchFiles.get(batch)!.empty));
   const valid = new Set(table.files.batch.map(({ number }) => number));
   for (let batch = lastMerged + 1; batch < last; batch++) if (!valid.has(batch)) return false;
@@ -76,27 +118,28 @@
 };
 
 /** Removes files that are no longer live. Files that remain are harmless. */
-const removeObsolete = async <T>(
-  { disk, table }: RecordFolder<T>,
+const removeObsolete = async <T, R>(
+  { disk, table }: RecordFolder<T, R>,
   files: string[],
   lastMerged: number,
 ): Promise<void> => {
   const bases = new Set(table.files.base.map(({ number }) => number));
   const oldBatches = recordFormat.fileNumbers(files, 'batch').filter((batch) => batch <= lastMerged);
   const oldBases = recordFormat.fileNumbers(files, 'base').filter((base) => !bases.has(base));
-  await forEachConcurrent(oldBatches, concurrentReads, (batch) => removeRecordFile(disk, 'batch', batch));
-  await forEachConcurrent(oldBases, concurrentReads, (base) => removeRecordFile(disk, 'base', base));
+  await forEachConcurrent(oldBatches, concurrentFiles, (batch) => removeRecordFile(disk, 'batch', batch));
+  await forEachConcurrent(oldBases, concurrentFiles, (base) => removeRecordFile(disk, 'base', base));
 };
 
 /** Loads the folder into its table; returns undefined if it is damaged. Fails with the disk's code `failed`. */
-export const loadRecords = async <T>(
-  folder: RecordFolder<T>,
+export const loadRecords = async <T, R>(
+  folder: RecordFolder<T, R>,
   reservation: BatchReservation,
 ): Promise<BaseHeader | undefined> => {
   const { disk, table } = folder;
   const files = await disk.list();
-  const header = await loadBases(folder, files);
-  if (!header || !(await loadBatches(folder, reservation, files, header.lastMergedBatch))) return undefined;
+  const memory = openMemoryBudget(loadMemory, 0);
+  const header = await loadBases(folder, memory, files);
+  if (!header || !(await loadBatches(folder, memory, reservation, files, header.lastMergedBatch))) return undefined;
   for (const kind of ['batch', 'base'] as const) table.files[kind].sort((a, b) => a.number - b.number);
   await removeObsolete(folder, files, header.lastMergedBatch);
   return header;
--- a/packages/durable-files/src/record-table.ts
+++ b/packages/durable-files/src/record-table.ts
@@ -2,18 +2,20 @@
  * The in-memory state of the record files: which file holds the newest version of each key, and how many bytes of each
  * file are live.
  */
-import type { RecordFileKind, StoredRecord } from './record-format.js';
+import type { LinePlace, RecordFileKind, StoredRecord } from './record-format.js';
 
 /** A live record file: the keys of its records, the total size of the records, and the size of its live records. */
 export type RecordFile = { kind: RecordFileKind; number: number; keys: string[]; bytes: number; liveBytes: number };
-/** The newest version of a record. */
+/** The newest version of a record; `value` is what stays in memory of it. */
 export type RecordEntry<T> = {
   key: string;
   value: T;
   /** The batch in which it was written. */
   batch: number;
   file: RecordFile;
-  /** Size of its line in that file. */
+  /** Offset of its line in that file, in bytes. */
+  offset: number;
+  /** Size of its line, in bytes. */
   bytes: number;
   /** Number of live files that hold older versions. */
   olderVersions: number;
@@ -43,9 +45,9 @@
   /** Adds a live file without records. */
   addFile: (kind: RecordFileKind, number: number) => RecordFile;
   /** Adds a record that was loaded from this file, or has just been synced to it. */
-  add: (record: StoredRecord<T>, file: RecordFile, bytes: number) => void;
+  add: (record: StoredRecord<T>, file: RecordFile, place: LinePlace) => void;
   /** Notes that compaction copied `record` into this file; a newer version may have replaced it in the meantime. */
-  move: (record: NewestRecord<T>, file: RecordFile, bytes: number) => void;
+  move: (record: NewestRecord<T>, file: RecordFile, place: LinePlace) => void;
   /** Notes that one live file fewer holds an older version of this record. */
   releaseOlder: (record: NewestRecord<T>) => void;
   /** The number of live files, their bytes, and the bytes of live records. */
@@ -91,7 +93,7 @@
       files[kind].push(file);
       return file;
     },
-    add: (record, file, bytes) => {
+    add: (record, file, { offset, bytes }) => {
       const previous = newest(record.key);
       // Reuses the key string of the earlier version, to save memory.
       const key = previous?.key ?? record.key;
@@ -100,14 +102,15 @@
       if (previous && previous.batch > record.batch) return retainOlder(previous);
       if (previous && isLive(previous)) previous.file.liveBytes -= previous.bytes;
       const olderVersions = previous ? previous.olderVersions + 1 : 0;
-      setNewest({ key, batch: record.batch, file, bytes, olderVersions }, record.value);
+      setNewest({ key, batch: record.batch, file, offset, bytes, olderVersions }, record.value);
     },
-    move: (record, file, bytes) => {
+    move: (record, file, { offset, bytes }) => {
       file.keys.push(record.key);
       file.bytes += bytes;
       // A newer version already counts this one in its `olderVersions`, whichever file holds it.
       if (newest(record.key) !== record) return;
       record.file = file;
+      record.offset = offset;
       record.bytes = bytes;
       if (isLive(record)) file.liveBytes += bytes;
     },
--- a/packages/register-store/src/acceptor.ts
+++ b/packages/register-store/src/acceptor.ts
@@ -1,11 +1,13 @@
 /** The Paxos acceptor (§6.2): stores promises and accepted values, and syncs each to disk before its reply. */
 import { invariant, type Microseconds } from '@thornsail/runtime';
 import { ballot } from './ballot.js';
+import { readChecked } from './checked-read.js';
 import type { StoreContext } from './store-context.js';
-import { effectiveExpiry, type Replica } from './types.js';
+import { effectiveExpiry, type Replica, type ResidentReplica } from './types.js';
 import {
   bodyShapes,
   decodeValue,
+  encodeBareView,
   encodeReplica,
   encodeView,
   messages,
@@ -18,6 +20,7 @@
   type PrepareReply,
   type RepairBody,
   type Target,
+  type WireRefusal,
   type WireReply,
 } from './wire.js';
 
@@ -25,7 +28,10 @@
  * The extension to store with a new value: the later one of the replica and the request. A new value never shortens an
  * extension, because the ballot that carries it may never be decided.
  */
-const latestExtension = (current: Replica, body: { extended?: Microseconds }): { extendedUntil?: Microseconds } => {
+const latestExtension = (
+  current: ResidentReplica,
+  body: { extended?: Microseconds },
+): { extendedUntil?: Microseconds } => {
   const extendedUntil = Math.max(current.extendedUntil ?? 0, body.extended ?? 0);
   return extendedUntil > 0 ? { extendedUntil } : {};
 };
@@ -50,13 +56,15 @@
   const { storage, counts, group, runtime } = context;
   const promised = storage.promisedOf(body.key);
   if (ballot.compare(body.ballot, promised) <= 0) return context.reject(promised);
-  const next: Replica = { ...storage.getOrEmpty(body.key), promised: body.ballot, touched: runtime.clock.wallTime() };
+  const current = await readChecked(context, body, [body.key]);
+  if (!current.ok) return current;
+  const next: Replica = { ...current.replicas[0]!, promised: body.ballot, touched: runtime.clock.wallTime() };
   await storage.write(body.key, next);
   counts.prepares += 1;
   // A proposer of the previous release expects the whole replica.
   if (!body.lean) return group.answer(body, { copy: encodeReplica(next) });
   const proposerHasValue = body.has && ballot.equals(body.has, next.accepted);
-  return group.answer(body, { copy: encodeView(next, !body.bare && !proposerHasValue) });
+  return group.answer(body, { copy: body.bare || proposerHasValue ? encodeBareView(next) : encodeView(next) });
 };
 
 const accept = async (context: StoreContext, body: AcceptBody): Promise<WireReply<AcceptReply>> => {
@@ -99,7 +107,10 @@
 const repair = async (context: StoreContext, body: RepairBody): Promise<WireReply<AcceptReply>> => {
   const { storage, counts, group, runtime } = context;
   const current = storage.getOrEmpty(body.key);
-  if (ballot.compare(body.ballot, current.accepted) <= 0) return group.answer(body, { copy: encodeReplica(current) });
+  if (ballot.compare(body.ballot, current.accepted) <= 0) {
+    const whole = await readChecked(context, body, [body.key]);
+    return whole.ok ? group.answer(body, { copy: encodeReplica(whole.replicas[0]!) }) : whole;
+  }
   if (!storage.get(body.key) && body.ballot[0] <= storage.floor()) return context.reject(storage.promisedOf(body.key));
   const next: Replica = {
     promised: ballot.max(current.promised, body.ballot),
@@ -114,16 +125,19 @@
 };
 
 /** Extends the expiry of one value; false if the key has no value. */
-const extendOne = (context: StoreContext, key: string, until: Microseconds): Promise<boolean> =>
+const extendOne = (context: StoreContext, body: ExtendBody, key: string): Promise<boolean | WireRefusal> =>
   context.exclusive(key, async () => {
     const { storage, counts, runtime } = context;
+    const { until } = body;
     const current = storage.get(key);
     if (!current) return false;
     // An expired value counts as absent; an extension must not bring it back.
     const extendedUntil = current.extendedUntil ?? 0;
     if (effectiveExpiry(current.stored?.expiresAt ?? 0, extendedUntil) <= runtime.clock.wallTime()) return false;
     if (extendedUntil >= until) return true;
-    await storage.write(key, { ...current, extendedUntil: until });
+    const whole = await readChecked(context, body, [key]);
+    if (!whole.ok) return whole;
+    await storage.write(key, { ...whole.replicas[0]!, extendedUntil: until });
     counts.extended += 1;
     return true;
   });
@@ -144,7 +158,12 @@
   rpc.on<ExtendBody>(messages.extend, bodyShapes.extend, async (body): Promise<WireReply<ExtendReply>> => {
     const refusal = await group.check(body);
     if (refusal) return refusal;
-    const found = await bounded(() => Promise.all(body.keys.map((key) => extendOne(context, key, body.until))));
+    const results = await bounded(() => Promise.all(body.keys.map((key) => extendOne(context, body, key))));
+    const found: boolean[] = [];
+    for (const result of results) {
+      if (typeof result !== 'boolean') return result;
+      found.push(result);
+    }
     return group.answer(body, { found });
   });
 };
--- a/packages/register-store/src/group-client.ts
+++ b/packages/register-store/src/group-client.ts
@@ -130,11 +130,16 @@
     },
     request: openRequests(options),
     gather: (pending, gatherOptions) => {
-      const recordFloor = <T>(reply: WireReply<T>): WireReply<T> => {
-        if (reply.ok) floor = Math.max(floor, reply.floor ?? 0);
+      const record = <T>(from: Member, reply: WireReply<T>): WireReply<T> => {
+        if (!reply.ok) return reply;
+        floor = Math.max(floor, reply.floor ?? 0);
+        health.recordFull(from, reply.full === true);
         return reply;
       };
-      const recorded = pending.map(({ from, reply }) => ({ from, reply: reply.then(recordFloor) }));
+      const recorded = pending.map(({ from, reply }) => ({
+        from,
+        reply: reply.then((received) => record(from, received)),
+      }));
       return gather(clock, health, recorded, gatherOptions);
     },
     byDistance: (group, key) => {
--- a/packages/register-store/src/member-health.ts
+++ b/packages/register-store/src/member-health.ts
@@ -14,6 +14,8 @@
 const fillingPeriod = duration.s(2);
 /** How long a reading of a store's wall clock is extrapolated by the local clock. */
 const wallClockValidity = duration.s(30);
+/** How long a store counts as full after it has said so, unless it says otherwise before. */
+const fullPeriod = duration.s(1);
 /** The usual accept time is a moving average in which a new sample has the weight of one over this. */
 const smoothing = 8;
 
@@ -25,6 +27,10 @@
   recordFailure: (member: Member) => void;
   /** Records that the member refuses openings, because it is being filled. */
   recordFilling: (member: Member) => void;
+  /** Records whether the member is about to refuse new values. */
+  recordFull: (member: Member, isFull: boolean) => void;
+  /** Whether a majority takes new values, as far as this proposer knows. */
+  hasSpace: (group: Group) => boolean;
   isSlow: (member: Member) => boolean;
   /** Whether every member has answered in time recently. */
   allResponsive: (group: Group) => boolean;
@@ -41,6 +47,7 @@
 export const openMemberHealth = (clock: Clock): MemberHealth => {
   const slowUntil = new Map<string, Microseconds>();
   const unresponsiveUntil = new Map<string, Microseconds>();
+  const fullUntil = new Map<string, Microseconds>();
   /** The last reading of each store's wall clock, and when it was received by the local clock. */
   const readings = new Map<string, { wall: Microseconds; receivedAt: Microseconds }>();
   /** The moving average of the time that a majority takes to accept. */
@@ -59,6 +66,11 @@
       setFor(unresponsiveUntil, member, unresponsivePeriod);
     },
     recordFilling: (member) => setFor(unresponsiveUntil, member, fillingPeriod),
+    recordFull: (member, isFull) => (isFull ? setFor(fullUntil, member, fullPeriod) : void fullUntil.delete(member.id)),
+    hasSpace: ({ members }) => {
+      const withSpace = members.filter(({ id }) => (fullUntil.get(id) ?? 0) <= clock.now());
+      return withSpace.length >= majority(members.length);
+    },
     isSlow: ({ id }) => (slowUntil.get(id) ?? 0) > clock.now(),
     allResponsive,
     lastMemberTimeout: (group) => {
--- a/packages/register-store/src/read-handlers.ts
+++ b/packages/register-store/src/read-handlers.ts
@@ -1,9 +1,12 @@
 /** The handlers of read requests of proposers and of anti-entropy: replicas, digests and lists of keys (§6.2, §6.5). */
 import { time } from '@thornsail/runtime';
+import { readChecked } from './checked-read.js';
 import { rangeCount } from './replica-table.js';
 import type { StoreContext } from './store-context.js';
+import { isOnDisk } from './types.js';
 import {
   bodyShapes,
+  encodeBareView,
   encodeGroup,
   encodeReplica,
   encodeView,
@@ -53,7 +56,8 @@
       if (!replica) return [];
       const { accepted, stored, touched, extendedUntil } = replica;
       const extended = extendedUntil ? { extended: extendedUntil } : {};
-      return [{ key, accepted, until: stored?.expiresAt ?? 0, touched, ...extended }];
+      const size = isOnDisk(stored) ? { bytes: stored.bytes } : {};
+      return [{ key, accepted, until: stored?.expiresAt ?? 0, touched, ...extended, ...size }];
     }),
   };
 };
@@ -65,8 +69,12 @@
     const refusal = await group.check(body);
     if (refusal) return refusal;
     const { keys, key, bare } = body;
-    if (!keys) return group.answer(body, { copy: encodeReplica(storage.getOrEmpty(key!)) });
-    return group.answer(body, { copies: keys.map((listed) => encodeView(storage.getOrEmpty(listed), !bare)) });
+    if (keys && bare)
+      return group.answer(body, { copies: keys.map((listed) => encodeBareView(storage.getOrEmpty(listed))) });
+    const whole = await readChecked(context, body, keys ?? [key!]);
+    if (!whole.ok) return whole;
+    if (keys) return group.answer(body, { copies: whole.replicas.map(encodeView) });
+    return group.answer(body, { copy: encodeReplica(whole.replicas[0]!) });
   });
   rpc.on<Target>(messages.digest, bodyShapes.digest, async (body): Promise<DigestReply> => {
     if (await group.check(body)) return refusalOf(context);
--- a/packages/register-store/src/registers.ts
+++ b/packages/register-store/src/registers.ts
@@ -39,6 +39,11 @@
   settleKey: (key: string, timeLeft?: Microseconds) => Promise<void>;
   /** Whether a majority of the stores answers; the time-out is 400 ms by default. */
   reachable: (timeLeft?: Microseconds) => Promise<boolean>;
+  /**
+   * Whether the stores take new values, by what they have answered in the last second. Work that ends with a new value
+   * should not be started otherwise.
+   */
+  hasSpace: () => boolean;
   /** Whether any store group is known. */
   isGroupKnown: () => boolean;
   counts: () => Counts;
@@ -74,6 +79,7 @@
           return false;
         }
       },
+      hasSpace: () => !stores.isGroupKnown() || stores.health.hasSpace(stores.group()),
       isGroupKnown: stores.isGroupKnown,
       counts: () => ({ ...counts }),
     };
--- a/packages/register-store/src/replica-table.ts
+++ b/packages/register-store/src/replica-table.ts
@@ -5,14 +5,14 @@
 import { hash, duration, type Microseconds } from '@thornsail/runtime';
 import type { RecordEntry, RecordIndex } from '@thornsail/durable-files';
 import type { Ballot } from './ballot.js';
-import type { Replica } from './types.js';
+import type { ResidentReplica } from './types.js';
 
 /** The number of ranges into which keys are hashed; anti-entropy lists a range only if its digests differ (§6.5). */
 export const rangeCount = 64;
 const rangeOf = (key: string): number => hash.of(key) % rangeCount;
 
 /** The replicas of a store. */
-export type ReplicaTable = RecordIndex<Replica> & {
+export type ReplicaTable = RecordIndex<ResidentReplica> & {
   size: () => number;
   /** A hash of the range, equal on two stores whose replicas have the same ballots and extensions. */
   digest: (range: number) => number;
@@ -25,14 +25,14 @@
 };
 
 /** The wall time until which a replica may be needed (§6.4). */
-export const neededUntil = ({ touched, stored, extendedUntil }: Replica): Microseconds =>
+export const neededUntil = ({ touched, stored, extendedUntil }: ResidentReplica): Microseconds =>
   Math.max(touched, stored?.expiresAt ?? 0, extendedUntil ?? 0);
 
 /**
  * Two sums of hashes, packed into 52 bits: after a change of group, equal digests are trusted without a listing (§6.5).
  */
 type Digest = [number, number];
-const digestOf = (key: string, { accepted, extendedUntil }: Replica): Digest => {
+const digestOf = (key: string, { accepted, extendedUntil }: ResidentReplica): Digest => {
   const text = `${key} ${accepted.join(' ')}${extendedUntil ? ` ${extendedUntil}` : ''}`;
   return [hash.of(text), hash.of(`2 ${text}`)];
 };
@@ -72,7 +72,7 @@
   };
 };
 
-type Range = { entries: Map<string, RecordEntry<Replica>>; digest: Digest };
+type Range = { entries: Map<string, RecordEntry<ResidentReplica>>; digest: Digest };
 const openRanges = (): Range[] =>
   Array.from({ length: rangeCount }, () => ({ entries: new Map(), digest: [0, 0] as Digest }));
 const listDue = (ranges: Range[], expiries: ExpiryIndex, before: Microseconds, limit: number) => {
--- a/packages/register-store/src/store-group.ts
+++ b/packages/register-store/src/store-group.ts
@@ -136,6 +136,7 @@
         wall: runtime.clock.wallTime(),
         ...(typeof target.group === 'number' || !isMemberAtAddress() ? {} : { lean: true }),
         ...(storage.floor() > 0 ? { floor: storage.floor() } : {}),
+        ...(storage.isNearlyFull() ? { full: true } : {}),
         ...body,
       },
   };
--- a/packages/register-store/src/store.ts
+++ b/packages/register-store/src/store.ts
@@ -10,6 +10,7 @@
 import { openStoreContext, type HandlerCounts } from './store-context.js';
 import { openStoreGroup } from './store-group.js';
 import type { Group } from './types.js';
+import { defaultValueLimits, type ValueLimits } from './value-account.js';
 import { documents } from './wire.js';
 
 /** Counters of a store, the messages that are waiting, and its files on disk. */
@@ -26,8 +27,8 @@
   merges: number;
   files: number;
   disk_bytes: number;
-  /** The approximate size of all large values, in characters. */
-  large_values: number;
+  /** The size of all values that are on disk only, in bytes. */
+  value_bytes: number;
 };
 /** A running store. */
 export type Store = {
@@ -49,11 +50,13 @@
   freshId?: string;
   /** The number and sizes of the files (§6.1). */
   limits?: Partial<Limits>;
-  /** How long a replica is kept after it has expired: at least 10 s, 600 s by default (§6.4). */
+  /** The limits of the values in bytes (§6.1). */
+  valueLimits?: Partial<ValueLimits>;
+  /** How long a replica is kept after it has expired: at least 10 s, 60 s by default (§6.4). */
   grace?: Microseconds;
 };
 
-const defaultGrace = duration.s(600);
+const defaultGrace = duration.s(60);
 const minGrace = duration.s(10);
 
 const validGrace = (grace: Microseconds): Microseconds => {
@@ -61,6 +64,7 @@
   const message = `grace is ${grace} us; it must be a whole number of at least ${minGrace} us`;
   throw registerErrors.create('invalid-grace', { step: 'store.open', message });
 };
+const valueLimitsOf = ({ valueLimits }: StoreOptions): ValueLimits => ({ ...defaultValueLimits, ...valueLimits });
 const identityOf = async ({ durable, freshId, runtime }: StoreOptions): Promise<string> => {
   const document = await durable.read<{ id: string }>(documents.identity);
   if (document) return document.value.id;
@@ -76,7 +80,7 @@
     const { runtime, rpc, durable } = options;
     const grace = validGrace(options.grace ?? defaultGrace);
     const log = runtime.log('store');
-    const storage = await openReplicaStorage(durable, options.limits ?? {}, log);
+    const storage = await openReplicaStorage(durable, options.limits ?? {}, valueLimitsOf(options), log);
     const id = await identityOf(options);
     const group = await openStoreGroup({ runtime, rpc, durable, storage, id, log });
     const context = openStoreContext({ runtime, rpc, id, storage, group, grace });
@@ -96,7 +100,7 @@
         merges,
         files,
         disk_bytes,
-        large_values: storage.largeValues(),
+        value_bytes: storage.valueBytes(),
       };
     };
     return { id, group: group.group, adoptGroup: group.adopt, size: storage.table.size, counts };
--- a/packages/register-store/src/sweep.ts
+++ b/packages/register-store/src/sweep.ts
@@ -2,7 +2,15 @@
  * Anti-entropy (§6.5): a sweep finds and repairs the replicas that no read has repaired, drops the registers that have
  * expired on every store, and after a change of group brings every register onto a majority of the new group.
  */
-import { time, duration, type Clock, type Microseconds } from '@thornsail/runtime';
+import {
+  time,
+  duration,
+  openMemoryBudget,
+  withMemory,
+  type Clock,
+  type MemoryBudget,
+  type Microseconds,
+} from '@thornsail/runtime';
 import type { Rpc } from '@thornsail/rpc';
 import { ballot, type Ballot } from './ballot.js';
 import { dropExpired } from './drop-expired.js';
@@ -60,11 +68,13 @@
 };
 
 const settleTimeout = duration.s(2);
+/** The values that are settled at once, in bytes; each takes several times its size, here and at each store. */
+const maxBytesInProgress = 4 << 20;
 /** The maximum number of keys in one reply to `list`. */
 const pageSize = 128;
 type Page = Extract<ListReply, { ok: true }>;
 /** The replica of one key on one member. */
-type ListedReplica = { member: Member; accepted: Ballot; extendedUntil: Microseconds };
+type ListedReplica = { member: Member; accepted: Ballot; extendedUntil: Microseconds; bytes: number };
 type KeyReplicas = [key: string, replicas: ListedReplica[]];
 
 const isSame = (a: ListedReplica, b: ListedReplica): boolean =>
@@ -106,9 +116,12 @@
   const end = ends.length ? ends.reduce((a, b) => (a < b ? a : b)) : null;
   const byKey = new Map<string, ListedReplica[]>();
   for (const { member, reply } of pages)
-    for (const { key, accepted, extended } of reply.keys) {
+    for (const { key, accepted, extended, bytes } of reply.keys) {
       if (end !== null && key > end) continue;
-      byKey.set(key, [...(byKey.get(key) ?? []), { member, accepted, extendedUntil: extended ?? 0 }]);
+      byKey.set(key, [
+        ...(byKey.get(key) ?? []),
+        { member, accepted, extendedUntil: extended ?? 0, bytes: bytes ?? 0 },
+      ]);
     }
   return { replicas: [...byKey].sort(([a], [b]) => (a < b ? -1 : 1)), end };
 };
@@ -116,6 +129,7 @@
 /** Settles the keys whose replicas are inconsistent, several at once; false if one could not be settled. */
 const settlePage = async (
   options: SweepOptions,
+  memory: MemoryBudget,
   result: SweepResult,
   listed: KeyReplicas[],
   answerCount: number,
@@ -131,7 +145,8 @@
   const settle = async (key: string, replicas: ListedReplica[]): Promise<void> => {
     result.seen += 1;
     if (!isConsistent(replicas)) {
-      await registers.settleKey(key, settleTimeout);
+      const bytes = Math.max(...replicas.map((replica) => replica.bytes));
+      await withMemory(memory, bytes, () => registers.settleKey(key, settleTimeout));
       result.repaired += 1;
     }
     options.onProgress?.(result.seen);
@@ -158,6 +173,7 @@
   responsive: { members: Member[] },
 ): Promise<boolean> => {
   const needed = majorityOf(options);
+  const memory = openMemoryBudget(maxBytesInProgress, 0);
   const remaining = [...ranges];
   let failed = false;
   const sweepRange = async (range: number): Promise<boolean> => {
@@ -168,7 +184,7 @@
       if (pages.length < needed) return false;
       responsive.members = responsive.members.filter((member) => pages.some((page) => page.member === member));
       const { replicas, end } = replicasByKey(pages);
-      if (!(await settlePage(options, result, replicas, pages.length))) return false;
+      if (!(await settlePage(options, memory, result, replicas, pages.length))) return false;
       after = end;
     }
     return true;
--- a/packages/register-store/src/types.ts
+++ b/packages/register-store/src/types.ts
@@ -34,6 +34,15 @@
   extendedUntil?: Microseconds;
 };
 
+/** What a store keeps in memory of a value that is on disk only: its expiry, and the size of its record in bytes. */
+export type ValueOnDisk = { expiresAt: Microseconds; bytes: number };
+/** A replica as a store keeps it in memory. */
+export type ResidentReplica = Omit<Replica, 'stored'> & { stored: StoredValue | ValueOnDisk | null };
+
+/** Whether the value of a replica is on disk only. */
+export const isOnDisk = (stored: ResidentReplica['stored']): stored is ValueOnDisk =>
+  stored !== null && 'bytes' in stored;
+
 /** The range of the wall clocks of several stores: a wrong clock on one of them must not expire a value (§6.4). */
 export type WallClocks = { min: Microseconds; max: Microseconds };
 
--- a/packages/register-store/src/wire.ts
+++ b/packages/register-store/src/wire.ts
@@ -6,7 +6,7 @@
 import { address, type Address, type Microseconds } from '@thornsail/runtime';
 import { validate } from '@thornsail/rpc';
 import type { Ballot } from './ballot.js';
-import type { Group, Replica, StoredValue } from './types.js';
+import type { Group, Replica, ResidentReplica, StoredValue } from './types.js';
 
 /** The names of the requests. */
 export const messages = {
@@ -123,8 +123,11 @@
   | { ok: false; why: 'identity' | 'unknown' }
   /** This store may lack openings from before it joined (§6.5). */
   | { ok: false; why: 'filling' };
-/** `wall`: the store's wall clock; `lean`: it knows the group, so the version is enough; `floor`: its floor (§6.4). */
-export type WireAnswer<T> = { ok: true; wall: Microseconds; lean?: boolean; floor?: number } & T;
+/**
+ * `wall`: the store's wall clock; `lean`: it knows the group, so the version is enough; `floor`: its floor (§6.4);
+ * `full`: it has little space left for values, and is about to refuse new ones (§6.1).
+ */
+export type WireAnswer<T> = { ok: true; wall: Microseconds; lean?: boolean; floor?: number; full?: boolean } & T;
 /** The reply to a request of a proposer. */
 export type WireReply<T> = WireAnswer<T> | WireRefusal;
 
@@ -136,10 +139,11 @@
 export type ReadReply = { copy?: WireView; copies?: WireView[] };
 /** For each key, whether it has a value. */
 export type ExtendReply = { found: boolean[] };
-/** One replica in a list. */
+/** One replica in a list; `bytes` is the size of a value that is on disk only. */
 export type ListedReplica = {
   key: string;
   accepted: Ballot;
+  bytes?: number;
   until: Microseconds;
   touched: Microseconds;
   extended?: Microseconds;
@@ -161,12 +165,17 @@
   extendedUntil: Microseconds;
   stored: StoredValue | null | undefined;
 };
-/** Encodes a replica for a reply, with its value only if it was requested. */
-export const encodeView = ({ accepted, stored, extendedUntil }: Replica, withValue: boolean): WireView => ({
+/** Encodes a replica for a reply, without its value; the absence of a value is shown. */
+export const encodeBareView = ({ accepted, stored, extendedUntil }: ResidentReplica): WireView => ({
   accepted,
   ...(stored ? { until: stored.expiresAt } : {}),
   ...(extendedUntil ? { extended: extendedUntil } : {}),
-  ...(!withValue && stored ? {} : { held: encodeValue(stored) }),
+  ...(stored ? {} : { held: null }),
+});
+/** Encodes a replica for a reply, with its value. */
+export const encodeView = (replica: Replica): WireView => ({
+  ...encodeBareView(replica),
+  held: encodeValue(replica.stored),
 });
 /** Decodes a replica from a reply. */
 export const decodeView = ({ accepted, until, extended, held }: WireView): ReplicaView => ({
--- a/packages/register-store/test/loopback.ts
+++ b/packages/register-store/test/loopback.ts
@@ -86,6 +86,12 @@
     await sleep(diskDurations.read);
     return files.get(name);
   },
+  readPart: async (name, offset, length) => {
+    await sleep(diskDurations.read);
+    const part = Buffer.from(files.get(name) ?? '').subarray(offset, offset + length);
+    return part.length === length ? part.toString() : undefined;
+  },
+  size: (name) => Promise.resolve(files.has(name) ? Buffer.byteLength(files.get(name)!) : undefined),
   list: async () => {
     await sleep(diskDurations.list);
     return [...files.keys()].sort();
--- a/packages/runtime/src/data-folder.ts
+++ b/packages/runtime/src/data-folder.ts
@@ -5,7 +5,10 @@
 import { fault } from './fault.js';
 
 /** The file system calls that a data folder uses; tests inject failing ones. */
-export type FileCalls = Pick<typeof fs, 'open' | 'rename' | 'readFile' | 'readdir' | 'rm' | 'unlink' | 'mkdir'>;
+export type FileCalls = Pick<
+  typeof fs,
+  'open' | 'rename' | 'readFile' | 'readdir' | 'rm' | 'unlink' | 'mkdir' | 'stat'
+>;
 /** The error codes of a full disk, of an exhausted quota, and of a process without a free descriptor. */
 const diskFullCodes = new Set(['ENOSPC', 'EDQUOT', 'EMFILE', 'ENFILE']);
 /** Wraps an error of a file system call; only a write can fail with code `full`. */
@@ -69,6 +72,25 @@
   return { sync, write, writeNew, createEmpty };
 };
 
+/** The operations of a disk that read a file. */
+const readOperations = (folder: string, calls: FileCalls): Pick<Disk, 'read' | 'readPart' | 'size'> => {
+  const readPart = async (name: string, offset: number, length: number): Promise<string | undefined> => {
+    const file = await calls.open(path.join(folder, name), 'r');
+    try {
+      const { buffer, bytesRead } = await file.read(Buffer.allocUnsafe(length), 0, length, offset);
+      return bytesRead === length ? buffer.toString('utf8') : undefined;
+    } finally {
+      await file.close();
+    }
+  };
+  const sizeOf = async (name: string): Promise<number> => (await calls.stat(path.join(folder, name))).size;
+  return {
+    read: async (name) => calls.readFile(path.join(folder, name), 'utf8').catch(ignoreMissing('read')),
+    readPart: async (name, offset, length) => readPart(name, offset, length).catch(ignoreMissing('read')),
+    size: async (name) => sizeOf(name).catch(ignoreMissing('read')),
+  };
+};
+
 /**
  * Opens a folder as a `Disk`; it is created when first used. Documents are written to a temporary file, which is synced
  * and renamed; then the folder is synced. Reserved files are created empty and the folder synced; they are written and
@@ -84,6 +106,7 @@
   /** Temporary files of documents being written; all others were left behind by a previous process. */
   const inProgress = new Set<string>();
   return {
+    ...readOperations(folder, calls),
     writeDocument: async (name, text) => {
       await step('write', ensureFolder());
       const temporaryName = `.aside-${nextTemporary++}`;
@@ -116,7 +139,6 @@
       await step('sync', ensureFolder());
       await step('sync', Promise.all([...names.map((name) => sync(path.join(folder, name))), syncFolder()]));
     },
-    read: async (name) => calls.readFile(path.join(folder, name), 'utf8').catch(ignoreMissing('read')),
     list: async () => {
       await step('read', ensureFolder());
       const names = await step('read', calls.readdir(folder));
--- a/packages/runtime/src/disk.ts
+++ b/packages/runtime/src/disk.ts
@@ -18,6 +18,10 @@
   syncExisting: (names: string[]) => Promise<void>;
   /** Returns undefined if there is no such file. */
   read: (name: string) => Promise<string | undefined>;
+  /** Returns `length` bytes of a file from `offset`; undefined if there is no such file or it ends before. */
+  readPart: (name: string, offset: number, length: number) => Promise<string | undefined>;
+  /** Returns the size of a file in bytes; undefined if there is no such file. */
+  size: (name: string) => Promise<number | undefined>;
   /** Returns the names of all files, sorted. */
   list: () => Promise<string[]>;
   /** Removes a file, if there is one; not durable before the next sync of the folder. */
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -2,6 +2,7 @@
 export { address, type Address } from './address.js';
 export { openByteCollector, type ByteCollector, type CollectorSize } from './byte-collector.js';
 export { time, type Cancel, type Clock } from './clock.js';
+export { openMemoryBudget, withMemory, type MemoryBudget, type Reservation } from './memory-budget.js';
 export { openDataFolder, type FileCalls } from './data-folder.js';
 export type { Disk } from './disk.js';
 export { duration, type Microseconds } from './duration.js';
@@ -19,7 +20,6 @@
   type HttpResponseWriter,
   type HttpServer,
 } from './http.js';
-export type { Reservation } from './memory-budget.js';
 export type { RequestListener } from './http-server.js';
 export { invariant } from './invariant.js';
 export { lock, type Lock } from './lock.js';
--- a/packages/runtime/src/memory-budget.ts
+++ b/packages/runtime/src/memory-budget.ts
@@ -64,3 +64,17 @@
   };
   return { take, counts: () => ({ taken, waiting: queue.length }) };
 };
+
+/** Runs work that takes `bytes` of a budget, once there is memory for it. */
+export const withMemory = async <T>(budget: MemoryBudget, bytes: number, work: () => Promise<T>): Promise<T> => {
+  if (bytes === 0) return work();
+  let onTaken = (): void => undefined;
+  const isTaken = new Promise<void>((resolve) => (onTaken = resolve));
+  const reservation = budget.take(bytes, onTaken);
+  try {
+    await isTaken;
+    return await work();
+  } finally {
+    reservation.release();
+  }
+};
--- a/programs/thornsail/src/command-line.ts
+++ b/programs/thornsail/src/command-line.ts
@@ -47,6 +47,7 @@
   seeds: 'addresses of three other processes, separated by commas',
   name: 'name of this node',
   data: 'data folder',
+  dataMb: 'space for the data folder, in megabytes',
   founders: 'the addresses of the three first coordinators (coordinators only)',
   possibleFounders: 'at a later start: the founders, if no group was ever formed (coordinators only)',
   platform: 'address of the platform',
--- a/programs/thornsail/src/roles.ts
+++ b/programs/thornsail/src/roles.ts
@@ -54,6 +54,9 @@
   dataPlane?: DataPlane;
 };
 const maxAdminBodyBytes = 1 << 20;
+const bytesPerMegabyte = 1_000_000;
+/** Share of a store's data space for values: compaction needs as much again, and small records need the rest (§6.1). */
+const valueShare = 0.4;
 /** Voting coordinators where that many run: a second loss is tolerated before the first is repaired (§3.3). */
 const usualCoordinators = 5;
 
@@ -291,7 +294,8 @@
     const disk = monitorDisk(runtime);
     const durable = await durableStore.open(runtime.disk, disk.failed);
     const log = runtime.log('store');
-    const storeNode = await store.open({ runtime, rpc: transport, durable });
+    const valueLimits = { stored: options.dataMb * bytesPerMegabyte * valueShare };
+    const storeNode = await store.open({ runtime, rpc: transport, durable, valueLimits });
     const member = membership.open({
       runtime,
       rpc: transport,
--- a/tools/simulation/src/guards/durable-files.ts
+++ b/tools/simulation/src/guards/durable-files.ts
@@ -7,12 +7,8 @@
     name: 'a batch is acknowledged only after its sync',
     rule: '9 durable',
     file: 'durable-files/src/batch-writer.js',
-    find:
-      'await disk.writeReserved(name, () => recordFormat.seal([...(batch = ' +
-      'take()).values()].map(({ line }) => line)))',
-    replacement:
-      'const now = recordFormat.seal([...(batch = take()).values()].map((change) => ' +
-      'change.line)); disk.writeReserved(name, () => now)',
+    find: 'await disk.writeReserved(name, sealBatch)',
+    replacement: 'const now = sealBatch(); disk.writeReserved(name, () => now)',
     noticedBy: { test: 'durable-files/test/restarts.test.js' },
   }),
   guard({
--- a/tools/simulation/src/guards/register-store.ts
+++ b/tools/simulation/src/guards/register-store.ts
@@ -93,4 +93,28 @@
     replacement: 'undefined',
     noticedBy: { test: 'simulation/test/registers.test.js' },
   }),
+  guard({
+    name: 'a value of some size does not stay in the memory of a store',
+    rule: '6 kept',
+    file: 'register-store/src/replica-storage.js',
+    find: 'replica.stored === null || bytes < minValueOnDisk',
+    replacement: 'true',
+    noticedBy: { test: 'register-store/test/store-memory.test.js' },
+  }),
+  guard({
+    name: 'a store checks its group again after it has read a value',
+    rule: '6 kept',
+    file: 'register-store/src/checked-read.js',
+    find: '(await group.check(body)) ?? ',
+    replacement: '',
+    noticedBy: { test: 'register-store/test/values-on-disk.test.js' },
+  }),
+  guard({
+    name: 'a sweep is bounded by the bytes that it settles at once',
+    rule: '6 kept',
+    file: 'register-store/src/sweep.js',
+    find: 'await withMemory(memory, bytes, () => registers.settleKey(key, settleTimeout))',
+    replacement: 'await registers.settleKey(key, settleTimeout)',
+    noticedBy: { test: 'register-store/test/values-on-disk.test.js' },
+  }),
 ];
--- a/tools/simulation/src/world/disk.ts
+++ b/tools/simulation/src/world/disk.ts
@@ -230,6 +230,35 @@
   return { rename, remove };
 };
 
+type ReadCalls = {
+  readFile: (path: unknown) => Promise<string>;
+  readPart: (name: string, buffer: Buffer, offset: number) => Promise<{ buffer: Buffer; bytesRead: number }>;
+};
+/** The calls that read files, whole or in part. */
+const openReadCalls = <H extends DiskHost>(
+  { rand }: DiskEnvironment<H>,
+  host: H,
+  waitForDisk: WaitForDisk,
+): ReadCalls => {
+  const waitForRead = async (): Promise<void> => {
+    // A random duration, so that concurrent reads complete out of order.
+    await waitForDisk(10 + rand.int(40));
+    if (rand.next() < host.disk.fail.read) throw failure('EIO');
+  };
+  const readFile = async (path: unknown): Promise<string> => {
+    await waitForRead();
+    const text = host.files.get(nameIn(path));
+    if (text === undefined) throw failure('ENOENT');
+    return text;
+  };
+  const readPart: ReadCalls['readPart'] = async (name, buffer, offset) => {
+    await waitForRead();
+    const bytesRead = Buffer.from(host.files.get(name) ?? '').copy(buffer, 0, offset);
+    return { buffer, bytesRead };
+  };
+  return { readFile, readPart };
+};
+
 /** The file calls of a data folder, on `host.files`. */
 const openFileCalls = <H extends DiskHost>(environment: DiskEnvironment<H>, host: H): FileCalls => {
   const { rand } = environment;
@@ -237,6 +266,7 @@
   const waitForDisk = openWaitForDisk(environment, host);
   const { syncFolder, syncFile } = openSyncCalls(environment, host, waitForDisk);
   const { rename, remove } = openNameCalls(environment, host, waitForDisk);
+  const { readFile, readPart } = openReadCalls(environment, host, waitForDisk);
   const writeFile = async (name: string, text: string): Promise<void> => {
     changeBytes(host, name, text.slice(0, rand.int(text.length)));
     await waitForDisk(0);
@@ -252,25 +282,26 @@
       else changeName(host, name, '');
     } else if (name !== '' && !host.files.has(name)) throw failure('ENOENT');
     return {
+      read: (buffer: Buffer, start: number, length: number, offset: number) =>
+        readPart(name, buffer.subarray(start, start + length), offset),
       writeFile: (text: string) => writeFile(name, text),
       datasync: () => syncFile(name),
       sync: () => (name === '' ? syncFolder() : syncFile(name)),
       close: () => Promise.resolve(),
     };
   };
-  const readFile = async (path: unknown): Promise<string> => {
-    // A random duration, so that concurrent reads complete out of order.
-    await waitForDisk(10 + rand.int(40));
-    if (rand.next() < disk.fail.read) throw failure('EIO');
-    const text = host.files.get(nameIn(path));
-    if (text === undefined) throw failure('ENOENT');
-    return text;
-  };
   const readdir = async (): Promise<string[]> => {
     await waitForDisk(30);
     return [...host.files.keys()].sort();
   };
+  const stat = (path: unknown): Promise<{ size: number }> =>
+    promiseOf(() => {
+      const text = host.files.get(nameIn(path));
+      if (text === undefined) throw failure('ENOENT');
+      return { size: Buffer.byteLength(text) };
+    });
   const simulated = {
+    stat,
     open,
     rename,
     readFile,
--- a/tools/simulation/test/upgrade-disks.test.ts
+++ b/tools/simulation/test/upgrade-disks.test.ts
@@ -43,6 +43,7 @@
       zone: machine.zone,
       seeds: [founders[0]!],
       data: 'data',
+      dataMb: 1000,
       beatMs: 200,
     };
     if (machine.role === 'store') void roles.store(runtime, options);
