A store opens at most 32 files at once to read values

Cause: a request may ask for many values, and values that are read at once are bounded in bytes only: 8 MiB of values of 1 KiB are some 8000 open files, which is all that a store machine has. Change: further reads wait. Test: durable-files/test/values-on-disk.test.ts, 300 reads at once, at most 32 under way.

--- a/packages/durable-files/src/record-reader.ts
+++ b/packages/durable-files/src/record-reader.ts
@@ -1,4 +1,5 @@
 /** Reads records whose values are not in memory from their files (§6.1). */
+import { openMemoryBudget, withMemory } from '@thornsail/runtime';
 import type { DurableStore } from './durable-store.js';
 import { durableErrors } from './errors.js';
 import type { RecordFolder } from './record-folder.js';
@@ -13,14 +14,19 @@
   readBaseLine: (record: RecordEntry<R>) => Promise<string>;
 };
 
+/** Files that are open for reads at once; each takes a descriptor. */
+const maxConcurrentReads = 32;
+
 /** Opens the reader of a folder. */
 export const openRecordReader = <T, R>(
   { disk, table, codec, residency, recent }: RecordFolder<T, R>,
   { reportCorruption }: Pick<DurableStore, 'reportCorruption'>,
 ): RecordReader<T, R> => {
+  const openReads = openMemoryBudget(maxConcurrentReads, 0);
   /** Returns the line as a base file has it; undefined if it is not there. */
   const tryReadBaseLine = async ({ key, batch, file, offset, bytes }: RecordEntry<R>): Promise<string | undefined> => {
-    const line = await disk.readPart(recordFormat.fileName(file.kind, file.number), offset, bytes);
+    const name = recordFormat.fileName(file.kind, file.number);
+    const line = await withMemory(openReads, 1, () => disk.readPart(name, offset, bytes));
     if (line === undefined || file.kind === 'base') return line;
     return recordFormat.baseLineFromBatchLine(line, key, batch);
   };
--- a/packages/durable-files/test/values-on-disk.test.ts
+++ b/packages/durable-files/test/values-on-disk.test.ts
@@ -23,8 +23,8 @@
   toWhole: (resident) => ('pad' in resident ? resident : undefined),
 };
 type Opened = { records: RecordStore<Value>; entries: Map<string, RecordEntry<Resident>> };
-const open = async (world: World, host: Host, recentBytes = 0): Promise<Opened> => {
-  const durable = await durableStore.open(world.runtime(host).disk);
+const open = async (world: World, host: Host, recentBytes = 0, disk = world.runtime(host).disk): Promise<Opened> => {
+  const durable = await durableStore.open(disk);
   const entries = new Map<string, RecordEntry<Resident>>();
   const index: RecordIndex<Resident> = {
     get: (key) => entries.get(key),
@@ -147,6 +147,24 @@
   assert.is(await codeOf(finish(world, records.read(keyOf(1)))), 'damaged-record');
 });
 
+test('many reads at once open few files at once', async () => {
+  const { world, host } = openHost(11);
+  const { disk } = world.runtime(host);
+  let [reading, most] = [0, 0];
+  const readPart: typeof disk.readPart = (...part) => {
+    most = Math.max(most, ++reading);
+    return disk.readPart(...part).finally(() => (reading -= 1));
+  };
+  const { records } = await finish(world, open(world, host, 0, { ...disk, readPart }));
+  const count = 300;
+  const numbers = Array.from({ length: count }, (_, n) => n);
+  const valueOf = (n: number): Value => ({ n, pad: 'y'.repeat(60) });
+  await finish(world, Promise.all(numbers.map((n) => records.write(keyOf(n), valueOf(n)))));
+  const found = await finish(world, Promise.all(numbers.map((n) => records.read(keyOf(n)))));
+  assert.equal(found, numbers.map(valueOf));
+  assert.ok(most > 1 && most <= 32, `${most} reads at once`);
+});
+
 test('recent values are bounded in bytes, and those that were not used for longest go first', () => {
   const recent = openRecentValues<string>(100);
   for (const key of ['a', 'b', 'c']) recent.set(key, 1, key, 30);
